--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,237 @@
+// Package admitter takes workflows from callers: it finds the queue, decides
+// whether a workflow is accepted and which data centre runs it, and answers
+// when the acceptance is stored.
+package admitter
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"briarspring"
+	"briarspring/encoder"
+	"briarspring/registrar"
+	"briarspring/replicator"
+	"briarspring/sleeper"
+)
+
+// Writer writes idempotent records to the shared stream.
+type Writer interface {
+	Write(ctx context.Context, records ...briarspring.KeyedRecord) error
+}
+
+// Catalogue is the operators' configuration.
+type Catalogue interface {
+	Directory() (briarspring.Directory, bool)
+	Out(dataCentre string) bool
+}
+
+// Freshness tells how current a followed stream is.
+type Freshness interface {
+	// Age returns the time since the last successful read was sent.
+	Age() (time.Duration, bool)
+}
+
+// Config holds the settings of an Admitter.
+type Config struct {
+	DataCentre  string
+	DataCentres []string
+	Shared      Writer
+	Catalogue   Catalogue
+	Replica     *replicator.Replica
+	Reading     Freshness
+	Now         func() time.Duration
+	Logger      hclog.Logger
+}
+
+const (
+	// staleAge of the shared state from which the log counts as out of reach;
+	// reads wait up to 1 s and take up to 0.8 s through a slow store.
+	staleAge = 2200 * time.Millisecond
+	// retryPause between two tries to store an acceptance.
+	retryPause = 60 * time.Millisecond
+	// retryAfter is what callers are told while the log is out of reach; outages
+	// last seconds, and another host may reach the log.
+	retryAfter = time.Second
+)
+
+// RefusedError tells that a request was refused and has no effect.
+type RefusedError struct {
+	Reason     string
+	RetryAfter time.Duration // Zero when trying again is of no use.
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "refused: " + e.Reason }
+
+// UnknownQueueError tells that no queue takes requests of that host and path.
+type UnknownQueueError struct {
+	Host string
+	Path string
+}
+
+// Error implements error.
+func (e *UnknownQueueError) Error() string { return "no queue for " + e.Host + e.Path }
+
+// Admitter takes workflows from callers.
+type Admitter struct {
+	config Config
+}
+
+// New returns an admitter.
+func New(c Config) *Admitter {
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	return &Admitter{config: c}
+}
+
+// Reachable reports whether the log was read recently.
+func (a *Admitter) Reachable() bool {
+	age, ok := a.config.Reading.Age()
+	return ok && age < staleAge
+}
+
+// Ready reports whether this host can accept work, and else why not.
+func (a *Admitter) Ready() (bool, string) {
+	if _, ok := a.config.Catalogue.Directory(); !ok {
+		return false, "no directory was read yet"
+	}
+	if !a.Reachable() {
+		return false, "the log is out of reach"
+	}
+	return true, ""
+}
+
+// Find returns the queue with the longest prefix of a path, and what follows
+// the prefix. Errors are *RefusedError before a directory was read, and
+// *UnknownQueueError.
+func (a *Admitter) Find(host, path string) (queue briarspring.Queue, rest string, err error) {
+	directory, ok := a.config.Catalogue.Directory()
+	if !ok {
+		return briarspring.Queue{}, "", &RefusedError{Reason: "no directory was read yet", RetryAfter: retryAfter}
+	}
+	found := false
+	for _, q := range directory.Queues {
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (!found || len(q.Prefix) > len(queue.Prefix)) {
+			queue, found = q, true
+		}
+	}
+	if !found {
+		return briarspring.Queue{}, "", &UnknownQueueError{Host: host, Path: path}
+	}
+	return queue, path[len(queue.Prefix):], nil
+}
+
+// Submit accepts a workflow. It returns nil when the workflow is stored, now or
+// before, a *RefusedError when it never runs, and a *briarspring.DoubtError when
+// it may run.
+func (a *Admitter) Submit(ctx context.Context, q briarspring.Queue, w *briarspring.Workflow) error {
+	if a.known(w.ID) {
+		a.config.Logger.Info("submission repeated", "workflow", w.ID)
+		return nil
+	}
+	w.Queue, w.Service, w.Priority = q.Name, q.Service, q.Priority
+	w.MaxAttempts, w.Stretch, w.Allowance = q.MaxAttempts, q.Stretch, q.Allowance
+	w.Submitted = time.Now()
+	choice := a.choose()
+	w.DataCentre = choice.DataCentre
+	if err := a.admit(q, w, choice); err != nil {
+		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "error", err)
+		return err
+	}
+	value, err := encoder.Submission(w)
+	if err != nil {
+		return &RefusedError{Reason: err.Error()}
+	}
+	err = a.store(ctx, w.ID, briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID), Value: value})
+	age, _ := a.config.Reading.Age()
+	a.config.Logger.Info("submission", "workflow", w.ID, "queue", q.Name, "data-centre", w.DataCentre, "tasks", w.TaskCount(),
+		"state-age-ms", age.Milliseconds(), "took-ms", time.Since(w.Submitted).Milliseconds(), "stored", err == nil, "error", err)
+	return err
+}
+
+func (a *Admitter) known(id briarspring.WorkflowID) bool {
+	known := false
+	a.config.Replica.View(func(r *registrar.Registry) { known = r.Workflow(id) != nil })
+	return known
+}
+
+// admit returns why a workflow can't be accepted, or nil.
+func (a *Admitter) admit(q briarspring.Queue, w *briarspring.Workflow, c Choice) error {
+	switch {
+	case q.Advised:
+		return &RefusedError{Reason: "queues with an advisory service are not supported"}
+	case len(w.Steps) == 0:
+		return &RefusedError{Reason: "the workflow has no steps"}
+	case !a.Reachable():
+		return &RefusedError{Reason: "the log is out of reach", RetryAfter: retryAfter}
+	case c.DataCentre == "":
+		return &RefusedError{Reason: "no data centre is in service", RetryAfter: retryAfter}
+	}
+	return nil
+}
+
+// store writes a record until it is stored, the context ends, or it is known
+// that another host stored it.
+func (a *Admitter) store(ctx context.Context, id briarspring.WorkflowID, rec briarspring.KeyedRecord) error {
+	doubt := false
+	for {
+		err := a.config.Shared.Write(ctx, rec)
+		if err == nil {
+			return nil
+		}
+		var refused *briarspring.NotDoneError
+		doubt = doubt || !errors.As(err, &refused)
+		if doubt && strings.HasPrefix(rec.Key, registrar.SubmissionKey("")) && a.known(id) {
+			return nil
+		}
+		if !doubt && !a.Reachable() {
+			return &RefusedError{Reason: "the log is out of reach", RetryAfter: retryAfter}
+		}
+		if sleeper.For(ctx, retryPause) == nil {
+			continue
+		}
+		if doubt {
+			return &briarspring.DoubtError{Call: "store " + rec.Key, Cause: err}
+		}
+		return &RefusedError{Reason: refused.Reason, RetryAfter: retryAfter}
+	}
+}
+
+// Phase returns how far a workflow has come; false for one that does not exist.
+// The error is a *RefusedError while the state is too old to tell.
+func (a *Admitter) Phase(id briarspring.WorkflowID) (phase briarspring.Phase, known bool, err error) {
+	a.config.Replica.View(func(r *registrar.Registry) {
+		if e := r.Workflow(id); e != nil {
+			phase, known = e.Phase(), true
+		}
+	})
+	if !known && !a.Reachable() {
+		return 0, false, &RefusedError{Reason: "the log is out of reach", RetryAfter: retryAfter}
+	}
+	return phase, known, nil
+}
+
+// Cancel ends a workflow; false for one that does not exist. Errors are
+// *RefusedError and *briarspring.DoubtError.
+func (a *Admitter) Cancel(ctx context.Context, id briarspring.WorkflowID) (known bool, err error) {
+	phase, known, err := a.Phase(id)
+	if err != nil || !known || phase.Final() {
+		return known, err
+	}
+	err = a.store(ctx, id, briarspring.KeyedRecord{Key: registrar.CancelKey(id), Value: []byte{1}})
+	a.config.Logger.Info("cancellation", "workflow", id, "phase", phase, "stored", err == nil, "error", err)
+	return true, err
+}
+
+// Waiting returns the number of a queue's workflows of which no task has
+// started.
+func (a *Admitter) Waiting(q briarspring.Queue) int {
+	n := 0
+	a.config.Replica.View(func(r *registrar.Registry) { n = r.Waiting(q.Name) })
+	return n
+}
--- /dev/null
+++ b/cmd/briarspring/host.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"briarspring/admitter"
+	"briarspring/assembler"
+	"briarspring/launcher"
+	"briarspring/platform"
+	"briarspring/recorder"
+	"briarspring/timekeeper"
+)
+
+type hostCmd struct {
+	Settings string `arg:"" optional:"" env:"BRIARSPRING_BOOT" help:"Settings file of the platform."`
+	Level    string `default:"info" enum:"trace,debug,info,warn,error" help:"Least level of log lines."`
+}
+
+const (
+	// hostGCPercent of a heap of a few megabytes; memory is scarcer here than
+	// processor time.
+	hostGCPercent = 200
+	// memoryShare of the host's limit from which collections become eager.
+	memoryShare = 0.6
+	// exitTime is kept of the grace for ending the process.
+	exitTime = 700 * time.Millisecond
+)
+
+// Run runs a host until SIGTERM or SIGINT.
+func (c *hostCmd) Run() error {
+	settings, err := platform.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(hostGCPercent)
+	debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryShare))
+	logs := recorder.New(os.Stdout)
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name: settings.Host, Level: hclog.LevelFromString(c.Level), Output: logs, JSONFormat: true,
+	})
+	l, err := assembler.NewHost(hostConfig(settings, logger, logs))
+	if err != nil {
+		return err
+	}
+	logger.Info("starts", "host", settings.Host, "data-centre", settings.DataCentre, "store", settings.StoreAddr, "milli-cpu", settings.MilliCPU)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	c.watchReload(ctx, logger)
+	l.Run(ctx)
+	return nil
+}
+
+func hostConfig(s platform.Settings, logger hclog.Logger, logs launcher.Part) assembler.HostConfig {
+	return assembler.HostConfig{
+		Host: s.Host, DataCentre: s.DataCentre, DataCentres: s.DataCentres, MilliCPU: s.MilliCPU,
+		MaxLease: s.MaxLease, StopTime: s.StopGrace - exitTime, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr,
+		Store:   platform.NewStore(platform.StoreConfig{Address: s.StoreAddr, WriteRate: s.WriteRate, ReadRate: s.ReadRate}),
+		Workers: platform.NewWorkers(),
+		Decoder: platform.Decoder{},
+		Front:   func(a *admitter.Admitter) http.Handler { return platform.NewFront(a, logger) },
+		Ready: func(a *admitter.Admitter, draining func() bool) http.Handler {
+			return platform.NewReady(a, draining)
+		},
+		Now: timekeeper.BootTime, Logger: logger, Logs: logs,
+	}
+}
+
+// watchReload checks the settings file when it has changed. Every setting that
+// a host uses is bound to its life, so changes take effect with the next one.
+func (c *hostCmd) watchReload(ctx context.Context, logger hclog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			}
+			if _, err := platform.LoadSettings(c.Settings); err != nil {
+				logger.Error("changed settings are not used", "error", err)
+				continue
+			}
+			logger.Info("settings file changed; it takes effect at the next start")
+		}
+	}()
+}
--- /dev/null
+++ b/dispatcher/job.go
@@ -0,0 +1,275 @@
+package dispatcher
+
+import (
+	"time"
+
+	"briarspring"
+)
+
+// job is a workflow, as far as this data centre runs it.
+type job struct {
+	workflow  *briarspring.Workflow
+	offset    uint64        // Of the submission.
+	submitted time.Duration // By this process's clock.
+	steps     []*step
+	tasks     []*task // Of all steps, by position.
+	cancelled bool
+	phase     briarspring.Phase
+	published briarspring.Phase // Last phase that was handed out for the log.
+	recorded  bool              // The final phase is in the log.
+	dropped   bool              // The progress record was dropped.
+	hasRecord bool              // A progress record exists or is on its way.
+}
+
+// step is a group of equal tasks of a job.
+type step struct {
+	job     *job
+	number  int
+	tasks   []*task
+	left    int // Tasks that are not done.
+	waiting int // Tasks that are not done and have no run.
+	spread  map[*worker]int
+}
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int
+	position   int
+	mine       bool // This data centre runs it.
+	done       bool
+	failures   int
+	lastRun    uint32
+	checkpoint string
+	runs       []*run
+	readySince time.Duration
+	avoid      *worker // Where it failed last.
+}
+
+func newJob(now, age time.Duration, w *briarspring.Workflow, offset uint64) *job {
+	j := &job{workflow: w, offset: offset, submitted: now - age}
+	for i, s := range w.Steps {
+		st := &step{job: j, number: i, left: s.Tasks, waiting: s.Tasks, spread: map[*worker]int{}}
+		for k := range s.Tasks {
+			t := &task{step: st, index: k, position: len(j.tasks), mine: true, readySince: now}
+			st.tasks = append(st.tasks, t)
+			j.tasks = append(j.tasks, t)
+		}
+		j.steps = append(j.steps, st)
+	}
+	return j
+}
+
+// spec returns the declared properties of the step.
+func (s *step) spec() *briarspring.Step { return &s.job.workflow.Steps[s.number] }
+
+// ready reports whether all steps before it are done.
+func (s *step) ready() bool {
+	for _, a := range s.spec().After {
+		if s.job.steps[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// over reports whether no task of the job may start any more.
+func (j *job) over() bool { return j.cancelled || j.phase.Final() }
+
+// alive returns the number of runs that may be alive.
+func (j *job) alive() int {
+	n := 0
+	for _, t := range j.tasks {
+		n += len(t.runs)
+	}
+	return n
+}
+
+// work returns the declared work that is left, in thousandths of a core times
+// seconds.
+func (j *job) work() int64 {
+	var sum int64
+	for _, s := range j.steps {
+		sum += int64(s.left) * s.spec().Resources.MilliCPU() * s.spec().Estimate.Milliseconds() / 1000
+	}
+	return sum
+}
+
+// ref returns the task's name.
+func (t *task) ref() briarspring.TaskRef {
+	return briarspring.TaskRef{Workflow: t.step.job.workflow.ID, Step: t.step.number, Index: t.index}
+}
+
+// pending reports whether the task needs a run.
+func (t *task) pending() bool { return t.mine && !t.done && len(t.runs) == 0 }
+
+// started notes a run of the task.
+func (t *task) started(r *run) {
+	if len(t.runs) == 0 {
+		t.step.waiting--
+	}
+	t.runs = append(t.runs, r)
+	t.lastRun = max(t.lastRun, r.ref.Run)
+	t.step.spread[r.worker]++
+}
+
+// stopped notes that a run of the task is alive no more.
+func (t *task) stopped(now time.Duration, r *run) {
+	for i, other := range t.runs {
+		if other != r {
+			continue
+		}
+		t.runs = append(t.runs[:i], t.runs[i+1:]...)
+		if t.step.spread[r.worker]--; t.step.spread[r.worker] == 0 {
+			delete(t.step.spread, r.worker)
+		}
+		if len(t.runs) == 0 && !t.done {
+			t.step.waiting++
+			t.readySince = now
+		}
+		return
+	}
+}
+
+// Submit takes over a workflow whose submission stands at an offset, with what
+// is recorded of its tasks. Its age is the time since it was accepted.
+// Workflows that are known already are left alone.
+func (d *Dispatcher) Submit(now, age time.Duration, w *briarspring.Workflow, offset uint64, progress []briarspring.TaskProgress) {
+	d.now = now
+	if d.jobs[w.ID] != nil {
+		return
+	}
+	j := newJob(now, age, w, offset)
+	d.jobs[w.ID] = j
+	d.changed = true
+	for _, p := range progress {
+		d.resume(j, p)
+	}
+	d.settle(j)
+}
+
+// resume takes over a task that has run before.
+func (d *Dispatcher) resume(j *job, p briarspring.TaskProgress) {
+	if p.Position >= len(j.tasks) {
+		d.logger.Warn("progress of a task that does not exist", "workflow", j.workflow.ID, "position", p.Position)
+		return
+	}
+	j.hasRecord = true
+	t := j.tasks[p.Position]
+	t.failures = p.Failures
+	t.lastRun = p.Run
+	t.checkpoint = p.Checkpoint
+	if p.Done {
+		t.finish()
+		return
+	}
+	if p.Worker == "" {
+		return
+	}
+	w := d.worker(p.Worker)
+	w.early = w.early || !w.fenced
+	d.addRun(&run{
+		ref: briarspring.RunRef{Task: t.ref(), Run: p.Run}, task: t, worker: w, state: runUnknown, pace: fullSpeed,
+		paceSent: fullSpeed, since: d.now,
+	})
+}
+
+// finish marks the task done.
+func (t *task) finish() {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.step.left--
+	if len(t.runs) == 0 {
+		t.step.waiting--
+	}
+}
+
+// Keep tells which tasks of a workflow this data centre runs, by position.
+// Tasks that were transferred away are not started here any more.
+func (d *Dispatcher) Keep(now time.Duration, id briarspring.WorkflowID, mine func(position int) bool) {
+	d.now = now
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	for _, t := range j.tasks {
+		t.mine = mine(t.position)
+	}
+	d.changed = true
+}
+
+// Cancel ends a workflow.
+func (d *Dispatcher) Cancel(now time.Duration, id briarspring.WorkflowID) {
+	d.now = now
+	j := d.jobs[id]
+	if j == nil || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	d.changed = true
+	d.logger.Info("workflow cancelled", "workflow", id, "runs", j.alive(), "phase", j.phase)
+	d.stopAll(j)
+}
+
+// Finished tells that a workflow's final phase is in the log.
+func (d *Dispatcher) Finished(now time.Duration, id briarspring.WorkflowID, phase briarspring.Phase) {
+	d.now = now
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	if !j.phase.Final() {
+		j.phase = phase
+		d.stopAll(j)
+	}
+	j.published = j.phase
+	j.recorded = true
+	d.changed = true
+}
+
+// Knows reports whether a workflow is held here.
+func (d *Dispatcher) Knows(id briarspring.WorkflowID) bool { return d.jobs[id] != nil }
+
+func (d *Dispatcher) stopAll(j *job) {
+	for _, t := range j.tasks {
+		for _, r := range t.runs {
+			d.stop(r, "workflow is over")
+		}
+	}
+}
+
+// settle works out the phase of a job after one of its tasks changed.
+func (d *Dispatcher) settle(j *job) {
+	if j.over() {
+		return
+	}
+	phase := j.phase
+	left := 0
+	for _, s := range j.steps {
+		left += s.left
+	}
+	for _, t := range j.tasks {
+		if !t.done && !t.step.spec().Lasting && j.workflow.MaxAttempts > 0 && t.failures >= j.workflow.MaxAttempts && len(t.runs) == 0 {
+			phase = briarspring.PhaseFailed
+		}
+		if phase == briarspring.PhaseQueued && (t.done || len(t.runs) > 0 || t.lastRun > 0) {
+			phase = briarspring.PhaseRunning
+		}
+	}
+	if left == 0 {
+		phase = briarspring.PhaseCompleted
+		d.counters.Completed++
+	}
+	if phase == j.phase {
+		return
+	}
+	j.phase = phase
+	d.changed = true
+	if phase.Final() {
+		d.logger.Info("workflow over", "workflow", j.workflow.ID, "phase", phase, "age-ms", (d.now - j.submitted).Milliseconds(),
+			"objective-ms", j.workflow.Objective().Milliseconds())
+		d.stopAll(j)
+	}
+}
--- /dev/null
+++ b/dispatcher/order.go
@@ -0,0 +1,93 @@
+package dispatcher
+
+import (
+	"time"
+
+	"briarspring"
+)
+
+// Answered takes the outcome of an order.
+func (d *Dispatcher) Answered(now time.Duration, o Order, v briarspring.Verdict) {
+	d.now = now
+	if v == briarspring.VerdictSuperseded {
+		d.logger.Warn("worker obeys a newer owner", "worker", o.Worker, "token", d.config.Token)
+		d.superseded = true
+		return
+	}
+	w := d.workers[o.Worker]
+	if w == nil {
+		return
+	}
+	r := w.runs[o.Run()]
+	if r == nil {
+		return
+	}
+	switch o.Kind {
+	case OrderStart:
+		d.startAnswered(w, r, v)
+	case OrderStop:
+		if v == briarspring.VerdictDone || v == briarspring.VerdictBarred {
+			r.stopped = now
+		}
+	case OrderPace:
+		if v != briarspring.VerdictDone {
+			r.paceSent = -1
+		}
+	}
+}
+
+func (d *Dispatcher) startAnswered(w *worker, r *run, v briarspring.Verdict) {
+	if r.state != runOrdered {
+		return
+	}
+	r.settledAt = d.now
+	if v == briarspring.VerdictDone {
+		r.state = runAlive
+		return
+	}
+	d.logger.Warn("start not carried out", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
+		"run", r.ref.Run, "worker", w.id, "verdict", v.String())
+	if v == briarspring.VerdictUnanswered {
+		d.counters.Doubts++
+		r.state = runDoubt
+		w.pausedUntil = d.now + orderPause
+		return
+	}
+	if v == briarspring.VerdictUnhealthy || v == briarspring.VerdictFull {
+		w.pausedUntil = d.now + orderPause
+		r.task.avoid = w
+	}
+	d.removeRun(r)
+	d.markDirty(r.task.step.job)
+	if v == briarspring.VerdictInvalid {
+		r.task.failures++
+	}
+	d.settle(r.task.step.job)
+}
+
+// start orders a run of a task on a worker.
+func (d *Dispatcher) start(t *task, w *worker) {
+	r := &run{
+		ref:  briarspring.RunRef{Task: t.ref(), Run: t.lastRun + 1},
+		task: t, worker: w, state: runOrdered, since: d.now,
+		until: w.clockNow(d.now) + startWindow, pace: fullSpeed, paceSent: fullSpeed,
+	}
+	if !w.trusted(d.now) || w.streak >= failStreak {
+		w.probing = r
+	}
+	waited := d.now - t.readySince
+	d.addRun(r)
+	d.counters.Starts++
+	w.until = max(w.until, r.until)
+	j := t.step.job
+	d.markDirty(j)
+	d.settle(j)
+	d.logger.Info("start", "workflow", j.workflow.ID, "step", t.step.number, "index", t.index, "run", r.ref.Run,
+		"worker", w.id, "waited-ms", waited.Milliseconds(), "free", w.free(), "checkpoint", t.checkpoint != "")
+	d.orders = append(d.orders, Order{
+		Kind: OrderStart, Worker: w.id, Address: w.entry.Address,
+		Start: briarspring.StartOrder{
+			Run: r.ref, Specification: j.workflow.Specification, Until: r.until, Token: d.config.Token, Checkpoint: t.checkpoint,
+		},
+	})
+}
--- /dev/null
+++ b/dispatcher/pace.go
@@ -0,0 +1,97 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// paceInterval is the least time between two decisions on a worker's pace; the
+// platform averages tails over half a second.
+const paceInterval = 250 * time.Millisecond
+
+// pace has the pacer look at a worker and orders what it decides.
+func (d *Dispatcher) pace(w *worker) {
+	if d.config.Pacer == nil || d.now-w.paceAt < paceInterval {
+		return
+	}
+	w.paceAt = d.now
+	for _, p := range d.config.Pacer.Decide(d.now, w.id, w.servingTasks(d.now), w.fillingTasks()) {
+		r := w.runs[p.Run]
+		if r == nil {
+			continue
+		}
+		d.setPace(r, p.Percent)
+	}
+	for _, r := range w.runs {
+		if r.pace != r.paceSent && r.state == runAlive && !r.stopping {
+			d.sendPace(r)
+		}
+	}
+}
+
+func (d *Dispatcher) setPace(r *run, percent int) {
+	if r.pace == percent {
+		return
+	}
+	d.logger.Debug("pace", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
+		"worker", r.worker.id, "image", r.task.step.spec().Image, "percent", percent, "before", r.pace)
+	r.pace = percent
+	weight := r.task.step.spec().Resources.MilliCPU() * int64(percent) / fullSpeed
+	r.worker.filling += weight - r.weight
+	r.weight = weight
+	d.changed = true
+}
+
+func (d *Dispatcher) sendPace(r *run) {
+	r.paceSent = r.pace
+	r.paceAt = d.now
+	d.counters.Paces++
+	o := Order{Kind: OrderPace, Worker: r.worker.id, Address: r.worker.entry.Address}
+	o.Pace.Run = r.ref
+	o.Pace.Percent = r.pace
+	o.Pace.Token = d.config.Token
+	d.orders = append(d.orders, o)
+}
+
+// staleReading is the age from which a tail says nothing about the present.
+const staleReading = 1500 * time.Millisecond
+
+// servingTasks returns the lasting tasks with a target on a worker.
+func (w *worker) servingTasks(now time.Duration) []Serving {
+	var list []Serving
+	for _, r := range w.runs {
+		spec := r.task.step.spec()
+		if !spec.Lasting || spec.TailTarget <= 0 || r.state != runAlive {
+			continue
+		}
+		tail := r.usage / float64(spec.TailTarget.Milliseconds())
+		list = append(list, Serving{Image: spec.Image, Tail: tail, Marked: r.usage > 0 && now-r.usageAt < staleReading})
+	}
+	slices.SortFunc(list, func(a, b Serving) int {
+		return cmp.Or(cmp.Compare(a.Image, b.Image), cmp.Compare(a.Tail, b.Tail))
+	})
+	return list
+}
+
+// fillingTasks returns the tasks that fill on a worker.
+func (w *worker) fillingTasks() []Filling {
+	var list []Filling
+	for _, r := range w.runs {
+		spec := r.task.step.spec()
+		if !spec.Fills || r.stopping || r.state != runAlive {
+			continue
+		}
+		list = append(list, Filling{
+			Run: r.ref, Image: spec.Image, Cores: float64(spec.Resources.MilliCPU()) / 1000, Percent: r.pace,
+		})
+	}
+	slices.SortFunc(list, func(a, b Filling) int {
+		return cmp.Or(
+			cmp.Compare(a.Run.Task.Workflow, b.Run.Task.Workflow),
+			cmp.Compare(a.Run.Task.Step, b.Run.Task.Step),
+			cmp.Compare(a.Run.Task.Index, b.Run.Task.Index),
+		)
+	})
+	return list
+}
--- /dev/null
+++ b/dispatcher/plan.go
@@ -0,0 +1,325 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"briarspring"
+)
+
+const (
+	// planInterval is the longest time between two plans; times pass without
+	// any event, such as the end of a pause.
+	planInterval = 100 * time.Millisecond
+	// servingShare of its reservation is what a lasting task is expected to
+	// use; the platform's day files state 0.42 with a swing of a half.
+	servingShare = 0.55
+	// fillLimit is how far declared processors of tasks that fill may exceed
+	// what is expected to be idle.
+	fillLimit = 1.0
+	// estimateRate is the share of an error that one run corrects in the learned
+	// ratio of run time to estimate.
+	estimateRate = 0.05
+)
+
+// averages holds the learned ratio of run time to declared time by queue.
+type averages map[string]float64
+
+// learnTime corrects the ratio of a queue after a run that is done.
+func (d *Dispatcher) learnTime(t *task, r *run) {
+	estimate := t.step.spec().Estimate
+	if r == nil || estimate <= 0 || r.paceAt != 0 {
+		return
+	}
+	queue := t.step.job.workflow.Queue
+	ratio, ok := d.averages[queue]
+	if !ok {
+		ratio = 1
+	}
+	measured := min(float64(d.now-r.since)/float64(estimate), 10)
+	d.averages[queue] = ratio + estimateRate*(measured-ratio)
+}
+
+// expected returns the expected time of the chain of steps from a step on.
+func (d *Dispatcher) expected(j *job, step int) time.Duration {
+	ratio, ok := d.averages[j.workflow.Queue]
+	if !ok {
+		ratio = 1
+	}
+	return time.Duration(ratio * float64(j.workflow.Chain(step)))
+}
+
+// Plan decides what is to start now, and returns all orders that are due.
+func (d *Dispatcher) Plan(now time.Duration) []Order {
+	d.now = now
+	d.lapses()
+	if d.changed {
+		d.changed = false
+		d.assign()
+	}
+	orders := d.orders
+	d.orders = nil
+	return orders
+}
+
+// Tick makes the next plan look at everything again.
+func (d *Dispatcher) Tick() { d.changed = true }
+
+// PlanInterval is the longest time between two plans.
+func PlanInterval() time.Duration { return planInterval }
+
+// candidate is a step with tasks that wait.
+type candidate struct {
+	step  *step
+	slack time.Duration // To the objective, after the work that is expected.
+}
+
+// assign starts waiting tasks on workers.
+func (d *Dispatcher) assign() {
+	if d.out || !d.listed {
+		return
+	}
+	open := d.open()
+	var reserved, filling []candidate
+	for _, j := range d.jobs {
+		if j.over() || !open && d.inherited(j) {
+			continue
+		}
+		for _, s := range j.steps {
+			if s.waiting == 0 || !s.ready() {
+				continue
+			}
+			c := candidate{step: s, slack: j.submitted + j.workflow.Objective() - d.now - d.expected(j, s.number)}
+			if s.spec().Fills {
+				filling = append(filling, c)
+			} else {
+				reserved = append(reserved, c)
+			}
+		}
+	}
+	slices.SortFunc(reserved, compareReserved)
+	for _, c := range reserved {
+		d.assignReserved(c.step)
+	}
+	slices.SortFunc(filling, compareFilling)
+	for _, c := range filling {
+		d.assignFilling(c.step)
+	}
+}
+
+// compareReserved orders steps whose processors are reserved: by priority, then
+// by slack, and what is late already comes last.
+func compareReserved(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.step.job.workflow.Priority, b.step.job.workflow.Priority),
+		cmp.Compare(late(a), late(b)),
+		cmp.Compare(a.slack, b.slack),
+		cmp.Compare(a.step.job.workflow.ID, b.step.job.workflow.ID),
+		cmp.Compare(a.step.number, b.step.number),
+	)
+}
+
+// compareFilling orders steps that fill: jobs that have started finish before
+// new ones share the processors with them.
+func compareFilling(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.step.job.workflow.Priority, b.step.job.workflow.Priority),
+		cmp.Compare(late(a), late(b)),
+		cmp.Compare(a.slack, b.slack),
+		cmp.Compare(a.step.job.workflow.ID, b.step.job.workflow.ID),
+		cmp.Compare(a.step.number, b.step.number),
+	)
+}
+
+func late(c candidate) int {
+	if c.slack < 0 && !c.step.spec().Lasting {
+		return 1
+	}
+	return 0
+}
+
+// inherited reports whether an earlier owner may have started tasks of the job.
+func (d *Dispatcher) inherited(j *job) bool { return d.config.Predecessor && j.offset < d.config.Token }
+
+// open reports whether workflows of the predecessor's time may start: every
+// worker that it may have used holds to this owner, or has lost its runs.
+func (d *Dispatcher) open() bool {
+	if !d.config.Predecessor {
+		return true
+	}
+	if d.now < d.holdStarts {
+		return false
+	}
+	for _, w := range d.order {
+		if w.early && !w.fenced && !d.predecessorLapsed() {
+			return false
+		}
+	}
+	if !d.barrierNoted {
+		d.barrierNoted = true
+		d.logger.Info("takes over workflows of the earlier owner", "after-ms", (d.now - d.startedAt).Milliseconds(), "workflows", len(d.jobs))
+	}
+	return true
+}
+
+// assignReserved starts the waiting tasks of a step whose processors are
+// reserved.
+func (d *Dispatcher) assignReserved(s *step) {
+	for _, t := range s.tasks {
+		if !t.pending() || d.exhausted(t) {
+			continue
+		}
+		w := d.bestReserved(t)
+		if w == nil {
+			return
+		}
+		d.start(t, w)
+	}
+}
+
+// exhausted reports whether the task has failed too often to start again.
+func (d *Dispatcher) exhausted(t *task) bool {
+	most := t.step.job.workflow.MaxAttempts
+	return !t.step.spec().Lasting && most > 0 && t.failures >= most
+}
+
+// fits reports whether a task may run on a worker.
+func (d *Dispatcher) fits(t *task, w *worker) bool {
+	spec := t.step.spec()
+	if w.entry.Service != t.step.job.workflow.Service || !w.usable(d.now) || !w.trusted(d.now) {
+		return false
+	}
+	if spec.Requirement != "" && !slices.Contains(w.entry.Labels, spec.Requirement) {
+		return false
+	}
+	if spec.MaxPerWorker > 0 && t.step.spread[w] >= spec.MaxPerWorker {
+		return false
+	}
+	return reservation(spec).Fits(w.free())
+}
+
+// bestReserved returns the worker for a task whose processors are reserved, or
+// nil. Short tasks go where they leave the least room, so that large holes stay
+// for wide ones; lasting tasks spread, so that a lost worker takes few of a job
+// along.
+func (d *Dispatcher) bestReserved(t *task) *worker {
+	var best *worker
+	var bestCost float64
+	for _, w := range d.order {
+		if !d.fits(t, w) {
+			continue
+		}
+		cost := d.reservedCost(t, w)
+		if best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+const (
+	// avoidCost keeps a task from the worker where it failed last, unless there
+	// is no other; larger than the cost of any free capacity.
+	avoidCost = 1e6
+	// rackCost keeps a task from other racks than the one with its data.
+	rackCost = 1e5
+	// spreadCost of each task of the same step on a worker, in thousandths of a
+	// core; larger than a worker's capacity.
+	spreadCost = 1e5
+)
+
+func (d *Dispatcher) reservedCost(t *task, w *worker) float64 {
+	spec := t.step.spec()
+	cost := float64(w.free().MilliCPU())
+	if spec.Lasting {
+		cost = -cost + spreadCost*float64(t.step.spread[w])
+	}
+	if t.avoid == w {
+		cost += avoidCost
+	}
+	if spec.Rack != "" && spec.Rack != w.entry.Rack {
+		cost += rackCost
+	}
+	return cost
+}
+
+// assignFilling starts the waiting tasks of a step that fills.
+func (d *Dispatcher) assignFilling(s *step) {
+	for _, t := range s.tasks {
+		if !t.pending() || d.exhausted(t) {
+			continue
+		}
+		w := d.bestFilling(t)
+		if w == nil {
+			return
+		}
+		d.start(t, w)
+	}
+}
+
+// idle returns the processors that are expected to be unused on a worker, in
+// thousandths of a core.
+func (w *worker) idle() float64 {
+	reserved := w.reserved.MilliCPU()
+	used := float64(reserved-w.serving) + servingShare*float64(w.serving)
+	return float64(w.entry.Capacity.MilliCPU()) - used - float64(w.filling)
+}
+
+// bestFilling returns the worker for a task that fills, or nil while none has
+// enough idle processors.
+func (d *Dispatcher) bestFilling(t *task) *worker {
+	spec := t.step.spec()
+	need := float64(spec.Resources.MilliCPU())
+	var best *worker
+	var bestCost float64
+	for _, w := range d.order {
+		if !d.fits(t, w) || w.idle() < need*fillLimit {
+			continue
+		}
+		cost := d.fillingCost(t, w)
+		if best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// fillingCost grows with the pressure on the tasks that serve and with the
+// share of idle processors that is used.
+func (d *Dispatcher) fillingCost(t *task, w *worker) float64 {
+	spec := t.step.spec()
+	capacity := float64(max(1, w.entry.Capacity.MilliCPU()))
+	cost := 1 - w.idle()/capacity
+	if d.config.Pacer != nil {
+		cost += d.config.Pacer.Pressure(spec.Image, w.servingTasks(d.now))
+	}
+	if t.avoid == w {
+		cost += avoidCost
+	}
+	if spec.Rack != "" && spec.Rack != w.entry.Rack {
+		cost += 1
+	}
+	return cost
+}
+
+// Unplaceable returns why no worker of the list can ever run a task of the
+// step, or "".
+func (d *Dispatcher) Unplaceable(w *briarspring.Workflow) string {
+	for _, s := range w.Steps {
+		if !d.placeable(w, &s) {
+			return "no worker is large enough for " + s.Resources.String()
+		}
+	}
+	return ""
+}
+
+func (d *Dispatcher) placeable(w *briarspring.Workflow, s *briarspring.Step) bool {
+	for _, o := range d.order {
+		if o.listed && o.entry.Service == w.Service && reservation(s).Fits(o.entry.Capacity) &&
+			(s.Requirement == "" || slices.Contains(o.entry.Labels, s.Requirement)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/encoder/workflow.go
@@ -0,0 +1,209 @@
+package encoder
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"briarspring"
+	pb "briarspring/gen/briarspring/v1"
+)
+
+// Submission returns the bytes of an accepted workflow. Its ID stands in the
+// record's key.
+func Submission(w *briarspring.Workflow) ([]byte, error) {
+	m := &pb.Submission{
+		Queue: w.Queue, Service: w.Service, Specification: w.Specification,
+		Priority: int32(w.Priority), MaxAttempts: int32(w.MaxAttempts), Stretch: w.Stretch,
+		AllowanceMs: w.Allowance.Milliseconds(), DataCentre: w.DataCentre, SubmittedMs: w.Submitted.UnixMilli(),
+	}
+	for _, s := range w.Steps {
+		m.Steps = append(m.Steps, encodeStep(s))
+	}
+	return proto.Marshal(m)
+}
+
+func encodeStep(s briarspring.Step) *pb.WorkflowStep {
+	m := &pb.WorkflowStep{
+		Tasks: int32(s.Tasks), MilliCpu: s.Resources.MilliCPU(), MemoryMib: s.Resources.MemoryMiB(),
+		Accelerators: s.Resources.Accelerators(), EstimateMs: s.Estimate.Milliseconds(),
+		Requirement: s.Requirement, Rack: s.Rack, Image: s.Image, MaxPerWorker: int32(s.MaxPerWorker),
+		TailTargetUs: s.TailTarget.Microseconds(),
+		Checkpoints:  s.Checkpoints, Speculative: s.Speculative, Lasting: s.Lasting, Fills: s.Fills,
+	}
+	for _, a := range s.After {
+		m.After = append(m.After, int32(a))
+	}
+	return m
+}
+
+// DecodeSubmission returns the workflow that a record holds, or a
+// *MalformedError.
+func DecodeSubmission(id briarspring.WorkflowID, data []byte) (*briarspring.Workflow, error) {
+	var m pb.Submission
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, &MalformedError{What: "submission", Cause: err}
+	}
+	w := &briarspring.Workflow{
+		ID: id, Queue: m.Queue, Service: m.Service, Specification: m.Specification,
+		Priority: int(m.Priority), MaxAttempts: int(m.MaxAttempts), Stretch: m.Stretch,
+		Allowance:  time.Duration(m.AllowanceMs) * time.Millisecond,
+		DataCentre: m.DataCentre, Submitted: time.UnixMilli(m.SubmittedMs),
+	}
+	for i, s := range m.Steps {
+		step, err := decodeStep(i, s)
+		if err != nil {
+			return nil, err
+		}
+		w.Steps = append(w.Steps, step)
+	}
+	if len(w.Steps) == 0 {
+		return nil, malformed("submission", "it has no steps")
+	}
+	return w, nil
+}
+
+func decodeStep(i int, m *pb.WorkflowStep) (briarspring.Step, error) {
+	s := briarspring.Step{
+		Tasks: int(m.Tasks),
+		Resources: briarspring.NewResources(briarspring.ResourcesConfig{
+			MilliCPU: m.MilliCpu, MemoryMiB: m.MemoryMib, Accelerators: m.Accelerators,
+		}),
+		Estimate:    time.Duration(m.EstimateMs) * time.Millisecond,
+		Requirement: m.Requirement, Rack: m.Rack, Image: m.Image, MaxPerWorker: int(m.MaxPerWorker),
+		TailTarget:  time.Duration(m.TailTargetUs) * time.Microsecond,
+		Checkpoints: m.Checkpoints, Speculative: m.Speculative, Lasting: m.Lasting, Fills: m.Fills,
+	}
+	if s.Tasks < 1 || s.Tasks > briarspring.MaxTasks {
+		return s, malformed("submission", "step %d has %d tasks", i, s.Tasks)
+	}
+	for _, a := range m.After {
+		if a < 0 || int(a) >= i {
+			return s, malformed("submission", "step %d comes after step %d", i, a)
+		}
+		s.After = append(s.After, int(a))
+	}
+	return s, nil
+}
+
+// PhaseMark returns the bytes of a workflow's phase.
+func PhaseMark(p briarspring.Phase) ([]byte, error) {
+	return proto.Marshal(&pb.PhaseMark{Phase: int32(p)})
+}
+
+// DecodePhaseMark returns a workflow's phase, or a *MalformedError.
+func DecodePhaseMark(data []byte) (briarspring.Phase, error) {
+	var m pb.PhaseMark
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return 0, &MalformedError{What: "phase", Cause: err}
+	}
+	if m.Phase < 0 || m.Phase > int32(briarspring.PhaseCancelled) {
+		return 0, malformed("phase", "%d is no phase", m.Phase)
+	}
+	return briarspring.Phase(m.Phase), nil
+}
+
+// DataCentreClaim returns the bytes of a claim.
+func DataCentreClaim(c briarspring.DataCentreClaim) ([]byte, error) {
+	return proto.Marshal(&pb.DataCentreClaim{
+		DataCentre: c.DataCentre, Previous: c.Previous, Owner: c.Owner, Incarnation: c.Incarnation,
+	})
+}
+
+// DecodeDataCentreClaim returns a claim, or a *MalformedError.
+func DecodeDataCentreClaim(data []byte) (briarspring.DataCentreClaim, error) {
+	var m pb.DataCentreClaim
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return briarspring.DataCentreClaim{}, &MalformedError{What: "claim", Cause: err}
+	}
+	return briarspring.DataCentreClaim{
+		DataCentre: m.DataCentre, Previous: m.Previous, Owner: m.Owner, Incarnation: m.Incarnation,
+	}, nil
+}
+
+// OwnerBeat returns the bytes of an owner's sign of life.
+func OwnerBeat(b briarspring.OwnerBeat) ([]byte, error) {
+	return proto.Marshal(&pb.OwnerBeat{
+		Token: b.Token, BacklogMilliCpuSeconds: b.Backlog, FreeMilliCpu: b.Free, TotalMilliCpu: b.Total, Accepts: b.Accepts,
+	})
+}
+
+// DecodeOwnerBeat returns an owner's sign of life, or a *MalformedError.
+func DecodeOwnerBeat(data []byte) (briarspring.OwnerBeat, error) {
+	var m pb.OwnerBeat
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return briarspring.OwnerBeat{}, &MalformedError{What: "beat", Cause: err}
+	}
+	return briarspring.OwnerBeat{
+		Token: m.Token, Backlog: m.BacklogMilliCpuSeconds, Free: m.FreeMilliCpu, Total: m.TotalMilliCpu, Accepts: m.Accepts,
+	}, nil
+}
+
+// HostPresence returns the bytes of a process's presence.
+func HostPresence(p briarspring.HostPresence) ([]byte, error) {
+	return proto.Marshal(&pb.HostPresence{DataCentre: p.DataCentre, Incarnation: p.Incarnation, MilliCpu: int32(p.MilliCPU)})
+}
+
+// DecodeHostPresence returns a process's presence, or a *MalformedError.
+func DecodeHostPresence(data []byte) (briarspring.HostPresence, error) {
+	var m pb.HostPresence
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return briarspring.HostPresence{}, &MalformedError{What: "presence", Cause: err}
+	}
+	return briarspring.HostPresence{DataCentre: m.DataCentre, Incarnation: m.Incarnation, MilliCPU: int(m.MilliCpu)}, nil
+}
+
+// RunProgress returns the bytes of a workflow's tasks that have run.
+func RunProgress(tasks []briarspring.TaskProgress) ([]byte, error) {
+	return proto.Marshal(&pb.WorkflowProgress{Tasks: encodeTasks(tasks)})
+}
+
+// DecodeRunProgress returns a workflow's tasks that have run, or a
+// *MalformedError.
+func DecodeRunProgress(data []byte) ([]briarspring.TaskProgress, error) {
+	var m pb.WorkflowProgress
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, &MalformedError{What: "progress", Cause: err}
+	}
+	return decodeTasks("progress", m.Tasks)
+}
+
+// TaskTransfer returns the bytes of a transfer.
+func TaskTransfer(t briarspring.TaskTransfer) ([]byte, error) {
+	return proto.Marshal(&pb.TaskTransfer{Token: t.Token, From: t.From, To: t.To, Tasks: encodeTasks(t.Tasks)})
+}
+
+// DecodeTaskTransfer returns a transfer, or a *MalformedError.
+func DecodeTaskTransfer(data []byte) (briarspring.TaskTransfer, error) {
+	var m pb.TaskTransfer
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return briarspring.TaskTransfer{}, &MalformedError{What: "transfer", Cause: err}
+	}
+	tasks, err := decodeTasks("transfer", m.Tasks)
+	return briarspring.TaskTransfer{Token: m.Token, From: m.From, To: m.To, Tasks: tasks}, err
+}
+
+func encodeTasks(tasks []briarspring.TaskProgress) []*pb.TaskProgress {
+	list := make([]*pb.TaskProgress, 0, len(tasks))
+	for _, t := range tasks {
+		list = append(list, &pb.TaskProgress{
+			Position: int32(t.Position), Done: t.Done, Failures: uint32(t.Failures), Run: t.Run,
+			Checkpoint: t.Checkpoint, Worker: t.Worker,
+		})
+	}
+	return list
+}
+
+func decodeTasks(what string, list []*pb.TaskProgress) ([]briarspring.TaskProgress, error) {
+	tasks := make([]briarspring.TaskProgress, 0, len(list))
+	for _, t := range list {
+		if t.Position < 0 {
+			return nil, malformed(what, "position %d", t.Position)
+		}
+		tasks = append(tasks, briarspring.TaskProgress{
+			Position: int(t.Position), Done: t.Done, Failures: int(t.Failures), Run: t.Run,
+			Checkpoint: t.Checkpoint, Worker: t.Worker,
+		})
+	}
+	return tasks, nil
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,368 @@
+// Package registrar holds what every host knows of workflows, owners and hosts.
+// It is built from the shared stream alone and does no input or output: the
+// same records in the same order give the same state on every host.
+package registrar
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"briarspring"
+	"briarspring/encoder"
+)
+
+// Entry is what the registry knows of a workflow.
+type Entry struct {
+	workflow  *briarspring.Workflow
+	offset    uint64
+	phase     briarspring.Phase
+	cancelled bool
+	finalAt   time.Duration
+	moved     map[int]Moved
+}
+
+// Moved is where a transferred task went and what it brought along.
+type Moved struct {
+	To       string
+	Progress briarspring.TaskProgress
+}
+
+// Workflow returns the workflow as it was accepted.
+func (e *Entry) Workflow() *briarspring.Workflow { return e.workflow }
+
+// Offset returns the offset of the submission that is in force.
+func (e *Entry) Offset() uint64 { return e.offset }
+
+// Phase returns how far the workflow has come.
+func (e *Entry) Phase() briarspring.Phase {
+	if !e.phase.Final() && e.cancelled {
+		return briarspring.PhaseCancelled
+	}
+	return e.phase
+}
+
+// Cancelled reports whether the workflow's cancellation is recorded.
+func (e *Entry) Cancelled() bool { return e.cancelled }
+
+// Moved returns the tasks that were transferred, by position.
+func (e *Entry) Moved() map[int]Moved { return e.moved }
+
+// DataCentre returns the data centre that runs the task at a position.
+func (e *Entry) DataCentre(position int) string {
+	if m, ok := e.moved[position]; ok {
+		return m.To
+	}
+	return e.workflow.DataCentre
+}
+
+// Claim is a claim that is in force.
+type Claim struct {
+	Token       uint64
+	Previous    uint64 // Token of the claim that it followed.
+	Owner       string // Empty when the data centre was given up.
+	Incarnation int64
+}
+
+// Beat is an owner's last sign of life.
+type Beat struct {
+	Content briarspring.OwnerBeat
+	At      time.Duration // When it was read.
+}
+
+// Change tells which workflow or data centre a record changed.
+type Change struct {
+	Workflow   briarspring.WorkflowID
+	DataCentre string // Whose claim changed.
+}
+
+// Registry is the state of the shared stream.
+type Registry struct {
+	applied   uint64 // Offset that follows the last applied record.
+	workflows map[briarspring.WorkflowID]*Entry
+	claims    map[string]Claim
+	replaced  map[string]Claim // The claim before the one in force.
+	beats     map[string]Beat
+	hosts     map[string]briarspring.HostPresence
+	waiting   map[string]int // By queue.
+}
+
+// New returns the state before the first record.
+func New() *Registry {
+	return &Registry{
+		workflows: map[briarspring.WorkflowID]*Entry{},
+		claims:    map[string]Claim{},
+		replaced:  map[string]Claim{},
+		beats:     map[string]Beat{},
+		hosts:     map[string]briarspring.HostPresence{},
+		waiting:   map[string]int{},
+	}
+}
+
+// Applied returns the offset that follows the last applied record.
+func (r *Registry) Applied() uint64 { return r.applied }
+
+// Workflow returns what is known of a workflow, or nil before its submission
+// was read.
+func (r *Registry) Workflow(id briarspring.WorkflowID) *Entry {
+	if e := r.workflows[id]; e != nil && e.workflow != nil {
+		return e
+	}
+	return nil
+}
+
+// Workflows calls f for every workflow.
+func (r *Registry) Workflows(f func(*Entry)) {
+	for _, e := range r.workflows {
+		if e.workflow != nil {
+			f(e)
+		}
+	}
+}
+
+// Claim returns the claim in force for a data centre; its token is zero when
+// there is none.
+func (r *Registry) Claim(dataCentre string) Claim { return r.claims[dataCentre] }
+
+// PreviousOwner returns the claim that a data centre's claim in force replaced;
+// false for a claim that is not in force.
+func (r *Registry) PreviousOwner(dataCentre string, token uint64) (Claim, bool) {
+	return r.replaced[dataCentre], r.claims[dataCentre].Token == token
+}
+
+// Strongest returns the processors of the largest host of a data centre, in
+// thousandths of a core.
+func (r *Registry) Strongest(dataCentre string) int {
+	most := 0
+	for _, p := range r.hosts {
+		if p.DataCentre == dataCentre {
+			most = max(most, p.MilliCPU)
+		}
+	}
+	return most
+}
+
+// Beat returns the last sign of life of the owner in force.
+func (r *Registry) Beat(dataCentre string) Beat { return r.beats[dataCentre] }
+
+// Host returns the last presence of a host.
+func (r *Registry) Host(name string) (briarspring.HostPresence, bool) {
+	p, ok := r.hosts[name]
+	return p, ok
+}
+
+// Waiting returns the number of a queue's accepted workflows of which no task
+// has started.
+func (r *Registry) Waiting(queue string) int { return r.waiting[queue] }
+
+// Apply applies a record that was read at a time. Records at offsets that were
+// applied before have no effect. Errors are *encoder.MalformedError.
+func (r *Registry) Apply(now time.Duration, rec briarspring.KeyedRecord) (Change, error) {
+	if rec.Offset < r.applied {
+		return Change{}, nil
+	}
+	r.applied = rec.Offset + 1
+	return r.apply(now, rec)
+}
+
+// Restore applies the newest record of every key and drops workflows that are
+// no longer kept. The records must have been read after everything that was
+// applied before; end is the offset that followed the last record when the
+// reading began.
+func (r *Registry) Restore(now time.Duration, records []briarspring.KeyedRecord, end uint64) ([]Change, []error) {
+	records = slices.Clone(records)
+	slices.SortFunc(records, func(a, b briarspring.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	kept := map[briarspring.WorkflowID]bool{}
+	var changes []Change
+	var errs []error
+	for _, rec := range records {
+		if id, ok := strings.CutPrefix(rec.Key, prefixSubmission); ok {
+			kept[briarspring.WorkflowID(id)] = true
+		}
+		change, err := r.apply(now, rec)
+		if err != nil {
+			errs = append(errs, err)
+		}
+		if change != (Change{}) {
+			changes = append(changes, change)
+		}
+	}
+	for id, e := range r.workflows {
+		if !kept[id] && e.offset < end {
+			r.forget(id)
+		}
+	}
+	r.applied = max(r.applied, end)
+	return changes, errs
+}
+
+func (r *Registry) apply(now time.Duration, rec briarspring.KeyedRecord) (Change, error) {
+	kind, rest, found := strings.Cut(rec.Key, "/")
+	if !found {
+		return Change{}, nil
+	}
+	kind += "/"
+	if len(rec.Value) == 0 {
+		if kind == prefixSubmission {
+			r.forget(briarspring.WorkflowID(rest))
+		}
+		return Change{}, nil
+	}
+	switch kind {
+	case prefixSubmission:
+		return r.submit(briarspring.WorkflowID(rest), rec)
+	case prefixCancel:
+		return r.cancel(now, briarspring.WorkflowID(rest))
+	case prefixRunning, prefixFinal:
+		return r.mark(now, briarspring.WorkflowID(rest), rec)
+	case prefixTransfer:
+		return r.transfer(rest, rec)
+	case prefixClaim:
+		return r.claim(rec)
+	case prefixBeat:
+		return Change{}, r.beat(now, rest, rec)
+	case prefixHost:
+		return Change{}, r.host(rest, rec)
+	}
+	return Change{}, nil
+}
+
+// entry returns the entry of a workflow and makes it when there is none.
+func (r *Registry) entry(id briarspring.WorkflowID) *Entry {
+	e := r.workflows[id]
+	if e == nil {
+		e = &Entry{}
+		r.workflows[id] = e
+	}
+	return e
+}
+
+// submit keeps the first submission of an ID; later ones are repeats.
+func (r *Registry) submit(id briarspring.WorkflowID, rec briarspring.KeyedRecord) (Change, error) {
+	e := r.entry(id)
+	if e.workflow != nil {
+		return Change{}, nil
+	}
+	w, err := encoder.DecodeSubmission(id, rec.Value)
+	if err != nil {
+		return Change{}, err
+	}
+	e.workflow = w
+	e.offset = rec.Offset
+	r.countWaiting(e, 1)
+	return Change{Workflow: id}, nil
+}
+
+// countWaiting adds n to the queue's count while e is a waiting workflow.
+func (r *Registry) countWaiting(e *Entry, n int) {
+	if e.workflow != nil && e.Phase() == briarspring.PhaseQueued {
+		r.waiting[e.workflow.Queue] += n
+	}
+}
+
+func (r *Registry) cancel(now time.Duration, id briarspring.WorkflowID) (Change, error) {
+	e := r.entry(id)
+	if e.cancelled {
+		return Change{}, nil
+	}
+	r.countWaiting(e, -1)
+	e.cancelled = true
+	if !e.phase.Final() {
+		e.finalAt = now
+	}
+	return Change{Workflow: id}, nil
+}
+
+func (r *Registry) mark(now time.Duration, id briarspring.WorkflowID, rec briarspring.KeyedRecord) (Change, error) {
+	phase, err := encoder.DecodePhaseMark(rec.Value)
+	if err != nil {
+		return Change{}, err
+	}
+	e := r.entry(id)
+	if e.phase >= phase || e.phase.Final() {
+		return Change{}, nil
+	}
+	r.countWaiting(e, -1)
+	e.phase = phase
+	if phase.Final() {
+		e.finalAt = now
+	}
+	return Change{Workflow: id}, nil
+}
+
+// transfer moves tasks when the giving owner's claim is in force.
+func (r *Registry) transfer(rest string, rec briarspring.KeyedRecord) (Change, error) {
+	id, _, _ := strings.Cut(rest, "/")
+	t, err := encoder.DecodeTaskTransfer(rec.Value)
+	if err != nil {
+		return Change{}, err
+	}
+	e := r.Workflow(briarspring.WorkflowID(id))
+	if e == nil || r.claims[t.From].Token != t.Token {
+		return Change{}, nil
+	}
+	if e.moved == nil {
+		e.moved = map[int]Moved{}
+	}
+	for _, p := range t.Tasks {
+		if e.DataCentre(p.Position) == t.From {
+			e.moved[p.Position] = Moved{To: t.To, Progress: p}
+		}
+	}
+	return Change{Workflow: e.workflow.ID}, nil
+}
+
+// claim puts a claim in force that follows the present one.
+func (r *Registry) claim(rec briarspring.KeyedRecord) (Change, error) {
+	c, err := encoder.DecodeDataCentreClaim(rec.Value)
+	if err != nil {
+		return Change{}, err
+	}
+	if r.claims[c.DataCentre].Token != c.Previous {
+		return Change{}, nil
+	}
+	r.replaced[c.DataCentre] = r.claims[c.DataCentre]
+	r.claims[c.DataCentre] = Claim{Token: rec.Offset + 1, Previous: c.Previous, Owner: c.Owner, Incarnation: c.Incarnation}
+	return Change{DataCentre: c.DataCentre}, nil
+}
+
+func (r *Registry) beat(now time.Duration, dataCentre string, rec briarspring.KeyedRecord) error {
+	b, err := encoder.DecodeOwnerBeat(rec.Value)
+	if err == nil && b.Token == r.claims[dataCentre].Token {
+		r.beats[dataCentre] = Beat{Content: b, At: now}
+	}
+	return err
+}
+
+func (r *Registry) host(name string, rec briarspring.KeyedRecord) error {
+	p, err := encoder.DecodeHostPresence(rec.Value)
+	if err == nil {
+		r.hosts[name] = p
+	}
+	return err
+}
+
+func (r *Registry) forget(id briarspring.WorkflowID) {
+	if e := r.workflows[id]; e != nil {
+		r.countWaiting(e, -1)
+		delete(r.workflows, id)
+	}
+}
+
+// Expired returns the keys of workflows of a data centre whose final phase was
+// read at least keep ago, at most limit workflows.
+func (r *Registry) Expired(now, keep time.Duration, dataCentre string, limit int) []string {
+	var keys []string
+	for id, e := range r.workflows {
+		if limit == 0 {
+			break
+		}
+		if e.workflow == nil || e.workflow.DataCentre != dataCentre || !e.Phase().Final() || now-e.finalAt < keep {
+			continue
+		}
+		limit--
+		keys = append(keys, CancelKey(id), RunningKey(id), FinalKey(id), SubmissionKey(id))
+	}
+	return keys
+}
--- /dev/null
+++ b/replicator/replicator.go
@@ -0,0 +1,145 @@
+// Package replicator keeps a host's copy of the shared state and tells the
+// parts of the process what changed.
+package replicator
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"briarspring"
+	"briarspring/registrar"
+)
+
+// maxPending bounds the changes that wait for a subscriber; one that falls
+// behind looks at everything again.
+const maxPending = 4096
+
+// Config holds the settings of a Replica.
+type Config struct {
+	Now    func() time.Duration
+	Logger hclog.Logger
+}
+
+// Replica is a copy of the shared state. It is a tracker's sink.
+type Replica struct {
+	config Config
+
+	mu          sync.Mutex
+	registry    *registrar.Registry
+	subscribers []*Subscription
+}
+
+// New returns an empty copy.
+func New(c Config) *Replica {
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	return &Replica{config: c, registry: registrar.New()}
+}
+
+// View calls f with the state, which must not be used afterwards.
+func (r *Replica) View(f func(*registrar.Registry)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.registry)
+}
+
+// Restore takes the newest record of every key.
+func (r *Replica) Restore(records []briarspring.KeyedRecord, end uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes, errs := r.registry.Restore(r.config.Now(), records, end)
+	for _, err := range errs {
+		r.config.Logger.Warn("record has no effect", "error", err)
+	}
+	for _, s := range r.subscribers {
+		s.all = true
+		s.wake()
+	}
+	r.config.Logger.Info("shared state restored", "records", len(records), "end", end, "changes", len(changes))
+}
+
+// Apply takes records in order.
+func (r *Replica) Apply(records []briarspring.KeyedRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Now()
+	for _, rec := range records {
+		change, err := r.registry.Apply(now, rec)
+		if err != nil {
+			r.config.Logger.Warn("record has no effect", "key", rec.Key, "offset", rec.Offset, "error", err)
+		}
+		if change == (registrar.Change{}) {
+			continue
+		}
+		for _, s := range r.subscribers {
+			s.add(change)
+		}
+	}
+	for _, s := range r.subscribers {
+		s.wake()
+	}
+}
+
+// Subscription collects the changes for one part of the process.
+type Subscription struct {
+	replica *Replica
+	changed chan struct{}
+	pending []registrar.Change
+	all     bool
+}
+
+// Subscribe returns a subscription that begins with a look at everything.
+func (r *Replica) Subscribe() *Subscription {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &Subscription{replica: r, changed: make(chan struct{}, 1), all: true}
+	s.wake()
+	r.subscribers = append(r.subscribers, s)
+	return s
+}
+
+// Close ends the subscription.
+func (s *Subscription) Close() {
+	s.replica.mu.Lock()
+	defer s.replica.mu.Unlock()
+	for i, o := range s.replica.subscribers {
+		if o == s {
+			s.replica.subscribers = append(s.replica.subscribers[:i], s.replica.subscribers[i+1:]...)
+			return
+		}
+	}
+}
+
+// Changed returns a channel that has a value after records were read.
+func (s *Subscription) Changed() <-chan struct{} { return s.changed }
+
+// Take returns the changes since the last call, and whether everything is to be
+// looked at instead.
+func (s *Subscription) Take() (changes []registrar.Change, all bool) {
+	s.replica.mu.Lock()
+	defer s.replica.mu.Unlock()
+	changes, all = s.pending, s.all
+	s.pending, s.all = nil, false
+	return changes, all
+}
+
+func (s *Subscription) add(c registrar.Change) {
+	if s.all {
+		return
+	}
+	if len(s.pending) >= maxPending {
+		s.pending, s.all = nil, true
+		return
+	}
+	s.pending = append(s.pending, c)
+}
+
+func (s *Subscription) wake() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/stream.go
@@ -0,0 +1,79 @@
+package briarspring
+
+// Names of the keyed streams that hosts share.
+const (
+	// SharedStream holds submissions, cancellations, phases, claims and beats.
+	SharedStream = "shared"
+	// DirectoryStream holds the operators' queues and the data centres out of
+	// service.
+	DirectoryStream = "directory"
+	// WorkersStream holds the entries of the workers.
+	WorkersStream = "workers"
+)
+
+// ProgressStream returns the stream of the runs of a data centre.
+func ProgressStream(dataCentre string) string { return "progress." + dataCentre }
+
+// KeyedRecord is the newest word on a key. A record without a value drops the
+// key.
+type KeyedRecord struct {
+	Key    string
+	Value  []byte
+	Offset uint64
+}
+
+// KeyedPage is the answer to a read of a keyed stream.
+type KeyedPage struct {
+	Records []KeyedRecord
+	Next    uint64 // Offset to read on from.
+	End     uint64 // Offset of the next append, as far as the answer knows.
+}
+
+// Fence identifies the single writer of a stream. A zero epoch is no fence.
+type Fence struct {
+	Epoch    uint64 // Lower epochs are refused once a higher one was seen.
+	Sequence uint64 // Grows by one with each append of the epoch.
+}
+
+// DataCentreClaim makes a host the owner of a data centre's workers, if it
+// follows the claim that is in force.
+type DataCentreClaim struct {
+	DataCentre  string
+	Previous    uint64 // Token of the claim that it follows; zero for the first one.
+	Owner       string // Name of the host.
+	Incarnation int64
+}
+
+// OwnerBeat is an owner's sign of life, with its load.
+type OwnerBeat struct {
+	Token   uint64
+	Backlog int64 // Declared work that waits, in thousandths of a core times seconds.
+	Free    int64 // Thousandths of a core that are not reserved.
+	Total   int64 // Thousandths of a core of all usable workers.
+	Accepts bool  // False while the data centre is out of service.
+}
+
+// HostPresence is one life of a host's process.
+type HostPresence struct {
+	DataCentre  string
+	Incarnation int64 // Start of the process, Unix milliseconds.
+	MilliCPU    int   // Processors of the host, in thousandths of a core.
+}
+
+// TaskProgress is where a task stands that has run at least once.
+type TaskProgress struct {
+	Position   int // Of the task, counting through all steps.
+	Done       bool
+	Failures   int
+	Run        uint32 // Highest number that was used.
+	Checkpoint string
+	Worker     string // Of the run that is alive; empty for none.
+}
+
+// TaskTransfer gives waiting tasks of a workflow to another data centre.
+type TaskTransfer struct {
+	Token uint64 // Of the owner that gives them.
+	From  string
+	To    string
+	Tasks []TaskProgress
+}
