Pacing and placement by a learned model of which image presses which

A fit of logged readings showed that most images press no other, and that each image that serves is pressed by two to four of nine, by amounts that drift. Ruled out: a lack of processors (tasks at full pace used what they declared).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"strconv"
 	"strings"
 	"time"
 
@@ -147,7 +149,10 @@
 	if err != nil {
 		return &RefusedError{Reason: err.Error()}
 	}
-	err = a.store(ctx, w.ID, briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID), Value: value})
+	err = a.store(ctx, w.ID, func() briarspring.KeyedRecord {
+		try := strconv.FormatUint(uint64(rand.Uint32()), 36)
+		return briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID, try), Value: value}
+	})
 	age, _ := a.config.Reading.Age()
 	a.config.Logger.Info("submission", "workflow", w.ID, "queue", q.Name, "data-centre", w.DataCentre, "tasks", w.TaskCount(),
 		"state-age-ms", age.Milliseconds(), "took-ms", time.Since(w.Submitted).Milliseconds(), "stored", err == nil, "error", err)
@@ -175,18 +180,20 @@
 	return nil
 }
 
-// store writes a record until it is stored, the context ends, or it is known
-// that another host stored it.
-func (a *Admitter) store(ctx context.Context, id briarspring.WorkflowID, rec briarspring.KeyedRecord) error {
+// store writes a record until it is stored, the context ends, or the workflow
+// is known after a try to submit it had no answer. Each try asks for the record
+// anew.
+func (a *Admitter) store(ctx context.Context, id briarspring.WorkflowID, record func() briarspring.KeyedRecord) error {
 	doubt := false
+	known := a.known(id)
 	for {
-		err := a.config.Shared.Write(ctx, rec)
+		err := a.config.Shared.Write(ctx, record())
 		if err == nil {
 			return nil
 		}
 		var refused *briarspring.NotDoneError
 		doubt = doubt || !errors.As(err, &refused)
-		if doubt && strings.HasPrefix(rec.Key, registrar.SubmissionKey("")) && a.known(id) {
+		if doubt && !known && a.known(id) {
 			return nil
 		}
 		if !doubt && !a.Reachable() {
@@ -196,7 +203,7 @@
 			continue
 		}
 		if doubt {
-			return &briarspring.DoubtError{Call: "store " + rec.Key, Cause: err}
+			return &briarspring.DoubtError{Call: "store a decision on " + string(id), Cause: err}
 		}
 		return &RefusedError{Reason: refused.Reason, RetryAfter: retryAfter}
 	}
@@ -223,7 +230,9 @@
 	if err != nil || !known || phase.Final() {
 		return known, err
 	}
-	err = a.store(ctx, id, briarspring.KeyedRecord{Key: registrar.CancelKey(id), Value: []byte{1}})
+	err = a.store(ctx, id, func() briarspring.KeyedRecord {
+		return briarspring.KeyedRecord{Key: registrar.CancelKey(id), Value: []byte{1}}
+	})
 	a.config.Logger.Info("cancellation", "workflow", id, "phase", phase, "stored", err == nil, "error", err)
 	return true, err
 }
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -54,10 +54,10 @@
 	sharedWait = time.Second
 	// ownerInterval is the least time between two reads of the shared stream by
 	// an owner, which starts what it reads.
-	ownerInterval = 12 * time.Millisecond
+	ownerInterval = 25 * time.Millisecond
 	// followerInterval is the same for other hosts, which only tell how far
 	// workflows have come.
-	followerInterval = 80 * time.Millisecond
+	followerInterval = 150 * time.Millisecond
 	// directoryWait of a read for the operators' next change.
 	directoryWait = 2 * time.Second
 	// workersInterval is the least time between two reads of the list of
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -37,7 +37,7 @@
 // Pacer decides how fast the tasks that fill may work on a worker.
 type Pacer interface {
 	Decide(now time.Duration, worker string, serving []Serving, filling []Filling) []Pace
-	Pressure(image string, serving []Serving) float64
+	Expected(image string, cores float64, serving []Serving) float64
 }
 
 // Serving is a lasting task with a target, as it was last measured.
@@ -52,6 +52,7 @@
 	Run     briarspring.RunRef
 	Image   string
 	Cores   float64 // Declared.
+	Used    float64 // Cores in use at the last reading.
 	Percent int     // Of full speed at present.
 }
 
@@ -77,14 +78,13 @@
 	holdStarts   time.Duration // No workflow of the predecessor's time starts before.
 	barrierNoted bool
 
-	orders       []Order
-	dirty        map[briarspring.WorkflowID]*job
-	shared       []briarspring.KeyedRecord
-	changed      bool
-	averages     averages
-	now          time.Duration
-	counters     Counters
-	fillersTotal int
+	orders   []Order
+	dirty    map[briarspring.WorkflowID]*job
+	shared   []briarspring.KeyedRecord
+	changed  bool
+	averages averages
+	now      time.Duration
+	counters Counters
 }
 
 // Counters counts what a dispatcher did, for metrics.
--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
+
+	"briarspring"
 )
 
 // paceInterval is the least time between two decisions on a worker's pace; the
@@ -16,7 +19,11 @@
 		return
 	}
 	w.paceAt = d.now
-	for _, p := range d.config.Pacer.Decide(d.now, w.id, w.servingTasks(d.now), w.fillingTasks()) {
+	serving, filling := w.servingTasks(d.now), w.fillingTasks()
+	if d.logger.IsDebug() {
+		d.logger.Debug("reading", "worker", w.id, "serving", fmt.Sprint(serving), "filling", fmt.Sprint(filling), "uses", w.uses())
+	}
+	for _, p := range d.config.Pacer.Decide(d.now, w.id, serving, filling) {
 		r := w.runs[p.Run]
 		if r == nil {
 			continue
@@ -28,6 +35,38 @@
 			d.sendPace(r)
 		}
 	}
+	d.moveSlowed(w)
+}
+
+const (
+	// slowPercent is the pace from which a task is better off elsewhere.
+	slowPercent = 20
+	// slowTime at that pace before a task with checkpoints is moved; a restart
+	// costs 0.25 to 0.6 s.
+	slowTime = 900 * time.Millisecond
+	// slowTimeUnsaved is the same for a task that loses its work.
+	slowTimeUnsaved = 2500 * time.Millisecond
+	// unsavedPercent of progress up to which a task without checkpoints is moved.
+	unsavedPercent = 30
+)
+
+// moveSlowed stops tasks that hardly get on when another worker would let them
+// work.
+func (d *Dispatcher) moveSlowed(w *worker) {
+	for _, r := range w.runs {
+		spec := r.task.step.spec()
+		if !spec.Fills || r.stopping || r.pace > slowPercent || r.state != runAlive {
+			continue
+		}
+		slowed := d.now - r.slowedAt
+		if spec.Checkpoints && slowed < slowTime || !spec.Checkpoints && (slowed < slowTimeUnsaved || r.percent > unsavedPercent) {
+			continue
+		}
+		if other := d.bestFilling(r.task); other == nil || other == w {
+			continue
+		}
+		d.stop(r, "moves to a worker that it does not press")
+	}
 }
 
 func (d *Dispatcher) setPace(r *run, percent int) {
@@ -36,6 +75,9 @@
 	}
 	d.logger.Debug("pace", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
 		"worker", r.worker.id, "image", r.task.step.spec().Image, "percent", percent, "before", r.pace)
+	if percent <= slowPercent && r.pace > slowPercent {
+		r.slowedAt = d.now
+	}
 	r.pace = percent
 	weight := r.task.step.spec().Resources.MilliCPU() * int64(percent) / fullSpeed
 	r.worker.filling += weight - r.weight
@@ -83,7 +125,7 @@
 			continue
 		}
 		list = append(list, Filling{
-			Run: r.ref, Image: spec.Image, Cores: float64(spec.Resources.MilliCPU()) / 1000, Percent: r.pace,
+			Run: r.ref, Image: spec.Image, Cores: float64(spec.Resources.MilliCPU()) / briarspring.MilliCPUPerCore, Used: r.usage / briarspring.MilliCPUPerCore, Percent: r.pace,
 		})
 	}
 	slices.SortFunc(list, func(a, b Filling) int {
@@ -95,3 +137,15 @@
 	})
 	return list
 }
+
+// uses returns the processors that other than lasting tasks use, for logs.
+func (w *worker) uses() string {
+	var list []string
+	for _, r := range w.runs {
+		if !r.task.step.spec().Lasting {
+			list = append(list, fmt.Sprintf("%s:%.2f/%d%%", r.task.step.spec().Image, r.usage, r.percent))
+		}
+	}
+	slices.Sort(list)
+	return fmt.Sprint(list)
+}
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -201,8 +201,7 @@
 
 // bestReserved returns the worker for a task whose processors are reserved, or
 // nil. Short tasks go where they leave the least room, so that large holes stay
-// for wide ones; lasting tasks spread, so that a lost worker takes few of a job
-// along.
+// for wide ones; lasting tasks go beside others of their image.
 func (d *Dispatcher) bestReserved(t *task) *worker {
 	var best *worker
 	var bestCost float64
@@ -224,16 +223,39 @@
 	avoidCost = 1e6
 	// rackCost keeps a task from other racks than the one with its data.
 	rackCost = 1e5
+	// freeWeight of a worker's free processors against the gains below.
+	freeWeight = 0.1
 	// spreadCost of each task of the same step on a worker, in thousandths of a
-	// core; larger than a worker's capacity.
-	spreadCost = 1e5
+	// core.
+	spreadCost = 1.5e3
+	// mixCost of each lasting task of another image on a worker and groupGain of
+	// each of the same, in thousandths of a core. Images differ in what presses
+	// them, so workers with one image leave room for most of what fills.
+	mixCost   = 4e3
+	groupGain = 3e3
 )
 
+// lastingImages returns the numbers of lasting tasks of an image and of others.
+func (w *worker) lastingImages(image string) (same, others int) {
+	for _, r := range w.runs {
+		spec := r.task.step.spec()
+		switch {
+		case !spec.Lasting:
+		case spec.Image == image:
+			same++
+		default:
+			others++
+		}
+	}
+	return same, others
+}
+
 func (d *Dispatcher) reservedCost(t *task, w *worker) float64 {
 	spec := t.step.spec()
 	cost := float64(w.free().MilliCPU())
 	if spec.Lasting {
-		cost = -cost + spreadCost*float64(t.step.spread[w])
+		same, others := w.lastingImages(spec.Image)
+		cost = -freeWeight*cost + spreadCost*float64(t.step.spread[w]) + mixCost*float64(others) - groupGain*float64(same)
 	}
 	if t.avoid == w {
 		cost += avoidCost
@@ -254,6 +276,9 @@
 		if w == nil {
 			return
 		}
+		if d.expectedTail(t, w) > 0 {
+			w.pressedAt = d.now
+		}
 		d.start(t, w)
 	}
 }
@@ -277,7 +302,11 @@
 		if !d.fits(t, w) || w.idle() < need*fillLimit {
 			continue
 		}
-		cost := d.fillingCost(t, w)
+		expected := d.expectedTail(t, w)
+		if expected > tailLimit || expected > 0 && d.now-w.pressedAt < pressInterval {
+			continue
+		}
+		cost := d.fillingCost(t, w) + expected
 		if best == nil || cost < bestCost {
 			best, bestCost = w, cost
 		}
@@ -285,15 +314,31 @@
 	return best
 }
 
-// fillingCost grows with the pressure on the tasks that serve and with the
-// share of idle processors that is used.
+const (
+	// tailLimit is the expected tail, as a share of its target, up to which a
+	// task may start beside tasks that it presses.
+	tailLimit = 0.8
+	// pressInterval between two starts of tasks that press others on a worker;
+	// tails show the effect of the first one by then.
+	pressInterval = 700 * time.Millisecond
+)
+
+// expectedTail returns the worst tail that a task that fills would cause on a
+// worker, as a share of its target; zero when it presses nothing there.
+func (d *Dispatcher) expectedTail(t *task, w *worker) float64 {
+	if d.config.Pacer == nil {
+		return 0
+	}
+	spec := t.step.spec()
+	cores := float64(spec.Resources.MilliCPU()) / briarspring.MilliCPUPerCore
+	return d.config.Pacer.Expected(spec.Image, cores, w.servingTasks(d.now))
+}
+
+// fillingCost grows with the share of idle processors that is used.
 func (d *Dispatcher) fillingCost(t *task, w *worker) float64 {
 	spec := t.step.spec()
 	capacity := float64(max(1, w.entry.Capacity.MilliCPU()))
 	cost := 1 - w.idle()/capacity
-	if d.config.Pacer != nil {
-		cost += d.config.Pacer.Pressure(spec.Image, w.servingTasks(d.now))
-	}
 	if t.avoid == w {
 		cost += avoidCost
 	}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -60,6 +60,7 @@
 	pausedUntil time.Duration
 	slow        float64 // Learned factor of run times, one is normal.
 	paceAt      time.Duration
+	pressedAt   time.Duration // When a task was started that presses tasks here.
 }
 
 // worker returns the worker of an ID and makes it when there is none.
@@ -180,7 +181,8 @@
 	pace       int // Decided.
 	paceSent   int
 	paceAt     time.Duration
-	weight     int64 // What it adds to the worker's filling.
+	slowedAt   time.Duration // When its pace became so slow that it is better off elsewhere.
+	weight     int64         // What it adds to the worker's filling.
 }
 
 const fullSpeed = 100
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,194 +1,222 @@
 // Package pacer decides how fast the tasks that use idle reservations may work
 // beside tasks that serve, and learns which image presses which. It answers
-// this load: images that press the tails of others by very different amounts,
-// which drift within seconds, while the tails are only known for the last half
-// second. It does no input or output.
+// this load: some images press the tails of some others, most press none, by
+// amounts that drift within seconds, while tails are only known for the last
+// half second. It does no input or output.
 package pacer
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
-	"briarspring"
 	"briarspring/dispatcher"
-	"briarspring/learner"
 )
 
 const (
-	// brakeRatio of a tail to its target starts the braking; it leaves room for
-	// what a tail rises until the next reading.
-	brakeRatio = 0.8
-	// stopRatio of a tail to its target brings everything beside it to the
-	// slowest pace at once.
-	stopRatio = 1.0
-	// calmRatio of a tail to its target lets tasks speed up again.
-	calmRatio = 0.6
-	// slowestPercent is the slowest pace of a task beside a tail that is too
-	// slow. Tasks keep their memory, so stopping them altogether gains little.
-	slowestPercent = 0
-	// brakeFactor of the pace for each reading above brakeRatio.
+	// brakeTail of the target, from which what presses is slowed.
+	brakeTail = 0.75
+	// stopTail of the target, from which what presses is stopped.
+	stopTail = 0.95
+	// calmTail of the target, below which tasks speed up again.
+	calmTail = 0.6
+	// patience with a tail above its target before everything beside it is
+	// stopped, whatever the estimates say; a fraction of the 4 s that the platform
+	// allows.
+	patience = 900 * time.Millisecond
+	// brakeFactor of the pace for each reading above brakeTail.
 	brakeFactor = 0.5
 	// speedUp in percent points for each calm reading.
-	speedUp = 15
-	// blamedShare of the heaviest pressure makes a task be slowed as well.
-	blamedShare = 0.4
-	// readingInterval is the time over which the platform averages a tail; a
-	// decision shows in full only after it.
-	readingInterval = 500 * time.Millisecond
-	// decayInterval is the time between two fadings of the estimates.
-	decayInterval = 5 * time.Second
+	speedUp = 34
+	// pressingRise per core, as a share of the target, from which an image counts
+	// as pressing.
+	pressingRise = 0.06
+	// peakFactor of the present pressure to the average one: amounts drift.
+	peakFactor = 2.5
+	// usageWeight of the newest reading of the processors in use; tails follow
+	// them with about half a second of lag.
+	usageWeight = 0.6
 	// fullSpeed is the pace of a task that is not slowed, in percent.
 	fullSpeed = 100
-	// tailUnit turns ratios of tails into the learner's unit.
-	tailUnit = time.Second
+	// milliPerCore turns readings into cores.
+	milliPerCore = 1000
 )
 
 // Pacer holds the estimates of one data centre.
 type Pacer struct {
-	learner *learner.Learner
-	braked  map[string]time.Duration // By worker, when it was last slowed.
-	decayed time.Duration
+	estimates map[string]*estimate // By image that serves.
+	workers   map[string]*workerState
+}
+
+// workerState is what is remembered of a worker between two readings.
+type workerState struct {
+	usage map[string]float64 // Smoothed cores in use by image.
+	over  time.Duration      // Since when a tail is above its target; zero for none.
 }
 
 // New returns a pacer without estimates.
 func New() *Pacer {
-	return &Pacer{learner: learner.New(learner.Config{}), braked: map[string]time.Duration{}}
+	return &Pacer{estimates: map[string]*estimate{}, workers: map[string]*workerState{}}
+}
+
+// Rise returns by which share of its target each core used by an image raises
+// the tail of an image that serves.
+func (p *Pacer) Rise(serving, image string) float64 {
+	e := p.estimates[serving]
+	if e == nil {
+		return 0
+	}
+	rise, spread := e.rise(image)
+	return max(0, rise-spread/2)
 }
 
-// Pressure returns by how much of their targets a task of an image is expected
-// to raise the tails of the tasks that serve, for the one that is pressed most.
-func (p *Pacer) Pressure(image string, serving []dispatcher.Serving) float64 {
+// Expected returns the tail that is to be expected when a task of an image
+// works beside tasks that serve, for the one that is worst off among those that
+// it presses, as a share of its target. It is zero when it presses none.
+func (p *Pacer) Expected(image string, cores float64, serving []dispatcher.Serving) float64 {
 	worst := 0.0
 	for _, s := range serving {
-		worst = max(worst, s.Tail+p.rise(s, image))
+		if rise := p.Rise(s.Image, image); rise >= pressingRise {
+			worst = max(worst, s.Tail+peakFactor*rise*cores)
+		}
 	}
 	return worst
 }
 
-// rise returns the expected rise of a tail, as a share of its target.
-func (p *Pacer) rise(s dispatcher.Serving, image string) float64 {
-	slowdown := p.learner.Slowdown(s.Image, image)
-	base := s.Tail / max(1e-9, p.learner.Ratio(s.Image, duration(s.Tail)))
-	return slowdown * base
-}
-
-func duration(ratio float64) time.Duration { return time.Duration(ratio * float64(tailUnit)) }
-
-// Decide returns the changes of pace on a worker after a reading.
+// Decide takes a reading of a worker and returns the changes of pace.
 func (p *Pacer) Decide(now time.Duration, worker string, serving []dispatcher.Serving, filling []dispatcher.Filling) []dispatcher.Pace {
+	w := p.workers[worker]
+	if w == nil {
+		w = &workerState{usage: map[string]float64{}}
+		p.workers[worker] = w
+	}
+	w.smooth(filling)
 	worst := 0.0
-	beside := besideOf(filling)
 	for _, s := range serving {
-		if !s.Marked {
-			continue
+		if s.Marked {
+			worst = max(worst, s.Tail)
+			p.learn(s, w.usage)
 		}
-		worst = max(worst, s.Tail)
-		p.learner.Observe(s.Image, duration(s.Tail), beside)
 	}
-	p.decay(now)
-	if len(filling) == 0 {
-		return nil
+	if worst < stopTail {
+		w.over = 0
+	} else if w.over == 0 {
+		w.over = now
 	}
-	switch {
-	case worst >= stopRatio:
-		p.braked[worker] = now
-		return all(filling, slowestPercent)
-	case worst >= brakeRatio:
-		p.braked[worker] = now
-		return p.brake(serving, filling)
-	case worst < calmRatio && now-p.braked[worker] > readingInterval:
-		return p.release(serving, filling, worst)
-	}
-	return nil
+	if w.over != 0 && now-w.over > patience {
+		return slowTo(filling, 0)
+	}
+	var paces []dispatcher.Pace
+	for _, f := range filling {
+		if percent := p.paceOf(f, serving); percent != f.Percent {
+			paces = append(paces, dispatcher.Pace{Run: f.Run, Percent: percent})
+		}
+	}
+	return paces
 }
 
-func (p *Pacer) decay(now time.Duration) {
-	if now-p.decayed > decayInterval {
-		p.decayed = now
-		p.learner.Decay()
+func (p *Pacer) learn(s dispatcher.Serving, usage map[string]float64) {
+	e := p.estimates[s.Image]
+	if e == nil {
+		e = newEstimate()
+		p.estimates[s.Image] = e
 	}
+	e.observe(s.Tail, usage)
 }
 
-// besideOf returns the tasks that fill by image, at their pace, in order.
-func besideOf(filling []dispatcher.Filling) []learner.Beside {
-	cores := map[string]float64{}
+// smooth takes in the processors that are in use by image.
+func (w *workerState) smooth(filling []dispatcher.Filling) {
+	used := map[string]float64{}
 	for _, f := range filling {
-		cores[f.Image] += f.Cores * float64(f.Percent) / fullSpeed
+		used[f.Image] += f.Used
 	}
-	var beside []learner.Beside
-	for image, n := range cores {
-		if n > 0 {
-			beside = append(beside, learner.Beside{Class: image, Tasks: n})
+	for image, before := range w.usage {
+		w.usage[image] = before + usageWeight*(used[image]-before)
+		if w.usage[image] < 1.0/milliPerCore {
+			delete(w.usage, image)
+		}
+	}
+	for image, n := range used {
+		if _, ok := w.usage[image]; !ok && n > 0 {
+			w.usage[image] = usageWeight * n
 		}
 	}
-	slices.SortFunc(beside, func(a, b learner.Beside) int { return cmp.Compare(a.Class, b.Class) })
-	return beside
 }
 
-func all(filling []dispatcher.Filling, percent int) []dispatcher.Pace {
-	var paces []dispatcher.Pace
-	for _, f := range filling {
-		if f.Percent > percent {
-			paces = append(paces, dispatcher.Pace{Run: f.Run, Percent: percent})
+// paceOf returns the pace of a task after a reading.
+func (p *Pacer) paceOf(f dispatcher.Filling, serving []dispatcher.Serving) int {
+	percent := min(fullSpeed, f.Percent+speedUp)
+	for _, s := range serving {
+		if s.Marked {
+			percent = min(percent, p.paceBeside(f, s))
 		}
 	}
-	return paces
+	return percent
 }
 
-// brake slows the tasks that press most.
-func (p *Pacer) brake(serving []dispatcher.Serving, filling []dispatcher.Filling) []dispatcher.Pace {
-	pressure := make([]float64, len(filling))
-	heaviest := 0.0
-	for i, f := range filling {
-		for _, s := range serving {
-			pressure[i] = max(pressure[i], s.Tail*p.learner.Slowdown(s.Image, f.Image)*f.Cores*float64(f.Percent)/fullSpeed)
+// paceBeside returns the pace that one task that serves allows.
+func (p *Pacer) paceBeside(f dispatcher.Filling, s dispatcher.Serving) int {
+	rise := p.Rise(s.Image, f.Image)
+	switch {
+	case rise < pressingRise && s.Tail < stopTail:
+		return fullSpeed
+	case rise < pressingRise:
+		if p.certain(s.Image, f.Image) {
+			return fullSpeed
 		}
-		heaviest = max(heaviest, pressure[i])
+		return int(float64(f.Percent) * brakeFactor)
+	case s.Tail >= stopTail:
+		return 0
+	case s.Tail >= brakeTail:
+		return int(float64(f.Percent) * brakeFactor)
+	case s.Tail >= calmTail:
+		return f.Percent
 	}
-	var paces []dispatcher.Pace
-	for i, f := range filling {
-		percent := int(float64(f.Percent) * brakeFactor)
-		if f.Percent > slowestPercent && pressure[i] >= blamedShare*heaviest {
-			paces = append(paces, dispatcher.Pace{Run: f.Run, Percent: max(percent, slowestPercent)})
-		}
+	room := (brakeTail - s.Tail) / (peakFactor * rise * max(f.Cores, 1.0/milliPerCore))
+	return min(f.Percent+speedUp, max(f.Percent, int(math.Floor(fullSpeed*room))))
+}
+
+// certain reports whether an image is known not to press another one.
+func (p *Pacer) certain(serving, image string) bool {
+	e := p.estimates[serving]
+	if e == nil {
+		return false
 	}
-	return paces
+	rise, spread := e.rise(image)
+	return rise+2*spread < 2*pressingRise
 }
 
-// release speeds tasks up, the lightest first, as far as the expected rise
-// leaves the tails below the point of braking.
-func (p *Pacer) release(serving []dispatcher.Serving, filling []dispatcher.Filling, worst float64) []dispatcher.Pace {
-	order := slices.Clone(filling)
-	slices.SortStableFunc(order, func(a, b dispatcher.Filling) int {
-		return cmp.Compare(p.heaviness(a, serving), p.heaviness(b, serving))
-	})
+func slowTo(filling []dispatcher.Filling, percent int) []dispatcher.Pace {
 	var paces []dispatcher.Pace
-	rise := 0.0
-	for _, f := range order {
-		if f.Percent >= fullSpeed {
-			continue
-		}
-		percent := min(fullSpeed, f.Percent+speedUp)
-		rise += p.heaviness(f, serving) * float64(percent-f.Percent) / fullSpeed
-		if worst+rise > brakeRatio && len(paces) > 0 {
-			break
+	for _, f := range filling {
+		if f.Percent > percent {
+			paces = append(paces, dispatcher.Pace{Run: f.Run, Percent: percent})
 		}
-		paces = append(paces, dispatcher.Pace{Run: f.Run, Percent: percent})
 	}
 	return paces
 }
 
-// heaviness returns the expected rise of the tails at full speed.
-func (p *Pacer) heaviness(f dispatcher.Filling, serving []dispatcher.Serving) float64 {
-	worst := 0.0
-	for _, s := range serving {
-		worst = max(worst, p.rise(s, f.Image))
+// Table returns the estimated rises for logs, in order.
+func (p *Pacer) Table() []Pair {
+	var list []Pair
+	for serving, e := range p.estimates {
+		for image := range e.index {
+			if rise, spread := e.rise(image); rise >= pressingRise {
+				list = append(list, Pair{Serving: serving, Image: image, Rise: rise, Spread: spread})
+			}
+		}
 	}
-	return worst * f.Cores
+	slices.SortFunc(list, func(a, b Pair) int {
+		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Image, b.Image))
+	})
+	return list
 }
 
-// Known reports whether a run is among those that fill.
-func Known(filling []dispatcher.Filling, run briarspring.RunRef) bool {
-	return slices.ContainsFunc(filling, func(f dispatcher.Filling) bool { return f.Run == run })
+// Pair is an image that presses another one.
+type Pair struct {
+	Serving string
+	Image   string
+	Rise    float64 // Of the tail for each core, as a share of the target.
+	Spread  float64 // Standard error of the rise.
 }
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -18,8 +18,12 @@
 	prefixHost       = "h/"
 )
 
-// SubmissionKey returns the key of a workflow's submission.
-func SubmissionKey(id briarspring.WorkflowID) string { return prefixSubmission + string(id) }
+// SubmissionKey returns the key of one try to submit a workflow. Every append
+// has a name of its own, so that all of them stay readable and the first one is
+// known for good.
+func SubmissionKey(id briarspring.WorkflowID, try string) string {
+	return prefixSubmission + string(id) + "/" + try
+}
 
 // CancelKey returns the key of a workflow's cancellation.
 func CancelKey(id briarspring.WorkflowID) string { return prefixCancel + string(id) }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -21,6 +21,7 @@
 	cancelled bool
 	finalAt   time.Duration
 	moved     map[int]Moved
+	keys      []string // Of its submissions and transfers.
 }
 
 // Moved is where a transferred task went and what it brought along.
@@ -177,8 +178,8 @@
 	var changes []Change
 	var errs []error
 	for _, rec := range records {
-		if id, ok := strings.CutPrefix(rec.Key, prefixSubmission); ok {
-			kept[briarspring.WorkflowID(id)] = true
+		if rest, ok := strings.CutPrefix(rec.Key, prefixSubmission); ok {
+			kept[idOf(rest)] = true
 		}
 		change, err := r.apply(now, rec)
 		if err != nil {
@@ -205,13 +206,13 @@
 	kind += "/"
 	if len(rec.Value) == 0 {
 		if kind == prefixSubmission {
-			r.forget(briarspring.WorkflowID(rest))
+			r.forget(idOf(rest))
 		}
 		return Change{}, nil
 	}
 	switch kind {
 	case prefixSubmission:
-		return r.submit(briarspring.WorkflowID(rest), rec)
+		return r.submit(idOf(rest), rec)
 	case prefixCancel:
 		return r.cancel(now, briarspring.WorkflowID(rest))
 	case prefixRunning, prefixFinal:
@@ -228,6 +229,12 @@
 	return Change{}, nil
 }
 
+// idOf returns the workflow that a key is about, whose kind was cut off.
+func idOf(rest string) briarspring.WorkflowID {
+	id, _, _ := strings.Cut(rest, "/")
+	return briarspring.WorkflowID(id)
+}
+
 // entry returns the entry of a workflow and makes it when there is none.
 func (r *Registry) entry(id briarspring.WorkflowID) *Entry {
 	e := r.workflows[id]
@@ -241,6 +248,7 @@
 // submit keeps the first submission of an ID; later ones are repeats.
 func (r *Registry) submit(id briarspring.WorkflowID, rec briarspring.KeyedRecord) (Change, error) {
 	e := r.entry(id)
+	e.keys = append(e.keys, rec.Key)
 	if e.workflow != nil {
 		return Change{}, nil
 	}
@@ -293,13 +301,16 @@
 
 // transfer moves tasks when the giving owner's claim is in force.
 func (r *Registry) transfer(rest string, rec briarspring.KeyedRecord) (Change, error) {
-	id, _, _ := strings.Cut(rest, "/")
 	t, err := encoder.DecodeTaskTransfer(rec.Value)
 	if err != nil {
 		return Change{}, err
 	}
-	e := r.Workflow(briarspring.WorkflowID(id))
-	if e == nil || r.claims[t.From].Token != t.Token {
+	e := r.Workflow(idOf(rest))
+	if e == nil {
+		return Change{}, nil
+	}
+	e.keys = append(e.keys, rec.Key)
+	if r.claims[t.From].Token != t.Token {
 		return Change{}, nil
 	}
 	if e.moved == nil {
@@ -362,7 +373,8 @@
 			continue
 		}
 		limit--
-		keys = append(keys, CancelKey(id), RunningKey(id), FinalKey(id), SubmissionKey(id))
+		keys = append(keys, CancelKey(id), RunningKey(id), FinalKey(id))
+		keys = append(keys, e.keys...)
 	}
 	return keys
 }
--- a/steward/commit.go
+++ b/steward/commit.go
@@ -90,6 +90,7 @@
 		t.mu.Unlock()
 		if len(records) > 0 {
 			t.publish(ctx, records)
+			_ = sleeper.For(ctx, publishGap)
 		}
 	}
 }
--- a/steward/term.go
+++ b/steward/term.go
@@ -34,7 +34,10 @@
 	// together share one.
 	planGap = 3 * time.Millisecond
 	// commitGap is the least time between two appends of progress.
-	commitGap = 15 * time.Millisecond
+	commitGap = 20 * time.Millisecond
+	// publishGap is the least time between two appends of phases; callers ask for
+	// them no more often than a few times a second.
+	publishGap = 30 * time.Millisecond
 	// commitTimeout of one append of progress; it is repeated until it is
 	// answered.
 	commitTimeout = 1500 * time.Millisecond
