--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -20,16 +20,12 @@
 type Config struct {
 	DataCentre string
 	Token      uint64        // Of the claim; also the offset that follows it.
-	Lease      time.Duration // Of a worker, from a renewal on.
-	MaxLease   time.Duration // Longest lease that any owner can have given.
+	Lease      time.Duration // Of a worker, from a renewal on; every owner uses the same.
 	Logger     hclog.Logger
 
 	// Predecessor tells that an earlier owner may have started runs that are
 	// not recorded.
 	Predecessor bool
-	// MaxUnreachable is how long an owner that is cut off from the log goes on
-	// renewing leases.
-	MaxUnreachable time.Duration
 	// Pacer decides how fast tasks that fill may work.
 	Pacer Pacer
 }
@@ -73,9 +69,11 @@
 	out          bool // Operators took the data centre out of service.
 	superseded   bool
 	startedAt    time.Duration
-	goneAt       time.Duration // When the predecessor was certainly gone; zero while it is not.
-	listed       bool          // The list of workers was read once.
-	holdStarts   time.Duration // No workflow of the predecessor's time starts before.
+	gone         bool                     // Every earlier owner gives no more orders.
+	goneAt       time.Duration            // When that became known.
+	silent       map[string]time.Duration // When the leases of workers have ended that did not answer the last owner.
+	listed       bool                     // The list of workers was read once.
+	holdStarts   time.Duration            // No workflow of the predecessor's time starts before.
 	barrierNoted bool
 
 	orders   []Order
@@ -137,13 +135,17 @@
 // time, because the list of workers may be incomplete until then.
 func (d *Dispatcher) HoldStarts(until time.Duration) { d.holdStarts = max(d.holdStarts, until) }
 
-// PredecessorGone tells that the earlier owner certainly gives no more orders.
-func (d *Dispatcher) PredecessorGone(now time.Duration) {
-	if d.goneAt == 0 {
-		d.goneAt = now
-	}
+// EarlierGone tells when it became known that every earlier owner gives no more
+// orders.
+func (d *Dispatcher) EarlierGone(at time.Duration) {
+	d.gone = true
+	d.goneAt = at
 }
 
+// EarlierSilent tells which workers did not answer the last owner, and when
+// their leases have certainly ended.
+func (d *Dispatcher) EarlierSilent(lapses map[string]time.Duration) { d.silent = lapses }
+
 // OrderKind tells orders apart.
 type OrderKind uint8
 
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -25,11 +25,14 @@
 	if !w.fenced {
 		return h, true
 	}
+	if w.newLife {
+		// A lease that is renewed without an answer would never be over.
+		h.Until = w.until
+		return h, true
+	}
 	h.Until = w.clockNow(now) + d.config.Lease
 	w.until = max(w.until, h.Until)
-	if !w.newLife {
-		h.EndsBefore = w.stored
-	}
+	h.EndsBefore = w.stored
 	return h, true
 }
 
@@ -326,15 +329,27 @@
 	if w.fenced {
 		return d.now > w.lapsesAt()
 	}
-	return d.predecessorLapsed()
+	if at, ok := d.silent[w.id]; ok {
+		return d.now > at
+	}
+	return d.earlierLapsed()
 }
 
-// predecessorLapsed reports whether the leases that the earlier owner gave have
+// earlierLapsed reports whether the leases that earlier owners gave have
 // certainly ended.
-func (d *Dispatcher) predecessorLapsed() bool {
-	gone := d.startedAt + d.config.MaxUnreachable
-	if d.goneAt != 0 {
-		gone = min(gone, d.goneAt)
+func (d *Dispatcher) earlierLapsed() bool {
+	return d.gone && d.now > d.goneAt+time.Duration(float64(d.config.Lease)*(1+clockSkew))+lapseMargin
+}
+
+// Silent returns the workers that do not answer, with the time after which all
+// their runs have certainly ended. Workers that never answered this owner are
+// left out, since others may have renewed their leases.
+func (d *Dispatcher) Silent(now time.Duration) []briarspring.SilentWorker {
+	var list []briarspring.SilentWorker
+	for _, w := range d.order {
+		if w.fenced && now-w.answeredAt >= silentAfter {
+			list = append(list, briarspring.SilentWorker{Worker: w.id, LeaseLeft: max(0, w.lapsesAt()-now)})
+		}
 	}
-	return d.now > gone+time.Duration(float64(d.config.MaxLease)*(1+clockSkew))+lapseMargin
+	return list
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -152,7 +152,7 @@
 		return false
 	}
 	for _, w := range d.order {
-		if w.early && !w.fenced && !d.predecessorLapsed() {
+		if w.early && !w.fenced && !d.certain(w) {
 			return false
 		}
 	}
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -207,3 +207,27 @@
 	}
 	return tasks, nil
 }
+
+// Retirement returns the bytes of an owner's last word.
+func Retirement(r briarspring.Retirement) ([]byte, error) {
+	m := &pb.Retirement{}
+	for _, w := range r.Silent {
+		m.Silent = append(m.Silent, &pb.SilentWorker{Worker: w.Worker, LeaseLeftMs: w.LeaseLeft.Milliseconds()})
+	}
+	return proto.Marshal(m)
+}
+
+// DecodeRetirement returns an owner's last word, or a *MalformedError.
+func DecodeRetirement(data []byte) (briarspring.Retirement, error) {
+	var m pb.Retirement
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return briarspring.Retirement{}, &MalformedError{What: "retirement", Cause: err}
+	}
+	var r briarspring.Retirement
+	for _, w := range m.Silent {
+		r.Silent = append(r.Silent, briarspring.SilentWorker{
+			Worker: w.Worker, LeaseLeft: time.Duration(w.LeaseLeftMs) * time.Millisecond,
+		})
+	}
+	return r, nil
+}
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -16,6 +16,7 @@
 	prefixClaim      = "o/"
 	prefixBeat       = "b/"
 	prefixHost       = "h/"
+	prefixRetire     = "q/"
 )
 
 // SubmissionKey returns the key of one try to submit a workflow. Every append
@@ -52,3 +53,8 @@
 
 // HostKey returns the key of a host's presence.
 func HostKey(host string) string { return prefixHost + host }
+
+// RetireKey returns the key of an owner's last word under a token.
+func RetireKey(dataCentre string, token uint64) string {
+	return prefixRetire + dataCentre + "/" + strconv.FormatUint(token, 10)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -58,20 +58,6 @@
 	return e.workflow.DataCentre
 }
 
-// Claim is a claim that is in force.
-type Claim struct {
-	Token       uint64
-	Previous    uint64 // Token of the claim that it followed.
-	Owner       string // Empty when the data centre was given up.
-	Incarnation int64
-}
-
-// Beat is an owner's last sign of life.
-type Beat struct {
-	Content briarspring.OwnerBeat
-	At      time.Duration // When it was read.
-}
-
 // Change tells which workflow or data centre a record changed.
 type Change struct {
 	Workflow   briarspring.WorkflowID
@@ -82,9 +68,7 @@
 type Registry struct {
 	applied   uint64 // Offset that follows the last applied record.
 	workflows map[briarspring.WorkflowID]*Entry
-	claims    map[string]Claim
-	replaced  map[string]Claim // The claim before the one in force.
-	beats     map[string]Beat
+	owners    map[string]*owners // By data centre.
 	hosts     map[string]briarspring.HostPresence
 	waiting   map[string]int // By queue.
 }
@@ -93,9 +77,7 @@
 func New() *Registry {
 	return &Registry{
 		workflows: map[briarspring.WorkflowID]*Entry{},
-		claims:    map[string]Claim{},
-		replaced:  map[string]Claim{},
-		beats:     map[string]Beat{},
+		owners:    map[string]*owners{},
 		hosts:     map[string]briarspring.HostPresence{},
 		waiting:   map[string]int{},
 	}
@@ -122,37 +104,6 @@
 	}
 }
 
-// Claim returns the claim in force for a data centre; its token is zero when
-// there is none.
-func (r *Registry) Claim(dataCentre string) Claim { return r.claims[dataCentre] }
-
-// PreviousOwner returns the claim that a data centre's claim in force replaced;
-// false for a claim that is not in force.
-func (r *Registry) PreviousOwner(dataCentre string, token uint64) (Claim, bool) {
-	return r.replaced[dataCentre], r.claims[dataCentre].Token == token
-}
-
-// Strongest returns the processors of the largest host of a data centre, in
-// thousandths of a core.
-func (r *Registry) Strongest(dataCentre string) int {
-	most := 0
-	for _, p := range r.hosts {
-		if p.DataCentre == dataCentre {
-			most = max(most, p.MilliCPU)
-		}
-	}
-	return most
-}
-
-// Beat returns the last sign of life of the owner in force.
-func (r *Registry) Beat(dataCentre string) Beat { return r.beats[dataCentre] }
-
-// Host returns the last presence of a host.
-func (r *Registry) Host(name string) (briarspring.HostPresence, bool) {
-	p, ok := r.hosts[name]
-	return p, ok
-}
-
 // Waiting returns the number of a queue's accepted workflows of which no task
 // has started.
 func (r *Registry) Waiting(queue string) int { return r.waiting[queue] }
@@ -220,11 +171,13 @@
 	case prefixTransfer:
 		return r.transfer(rest, rec)
 	case prefixClaim:
-		return r.claim(rec)
+		return r.applyClaim(now, rec)
 	case prefixBeat:
-		return Change{}, r.beat(now, rest, rec)
+		return Change{}, r.applyBeat(now, rest, rec)
 	case prefixHost:
-		return Change{}, r.host(rest, rec)
+		return Change{}, r.applyHost(now, rest, rec)
+	case prefixRetire:
+		return Change{}, r.applyRetirement(now, rest, rec)
 	}
 	return Change{}, nil
 }
@@ -310,7 +263,7 @@
 		return Change{}, nil
 	}
 	e.keys = append(e.keys, rec.Key)
-	if r.claims[t.From].Token != t.Token {
+	if r.of(t.From).claim.Token != t.Token {
 		return Change{}, nil
 	}
 	if e.moved == nil {
@@ -324,36 +277,6 @@
 	return Change{Workflow: e.workflow.ID}, nil
 }
 
-// claim puts a claim in force that follows the present one.
-func (r *Registry) claim(rec briarspring.KeyedRecord) (Change, error) {
-	c, err := encoder.DecodeDataCentreClaim(rec.Value)
-	if err != nil {
-		return Change{}, err
-	}
-	if r.claims[c.DataCentre].Token != c.Previous {
-		return Change{}, nil
-	}
-	r.replaced[c.DataCentre] = r.claims[c.DataCentre]
-	r.claims[c.DataCentre] = Claim{Token: rec.Offset + 1, Previous: c.Previous, Owner: c.Owner, Incarnation: c.Incarnation}
-	return Change{DataCentre: c.DataCentre}, nil
-}
-
-func (r *Registry) beat(now time.Duration, dataCentre string, rec briarspring.KeyedRecord) error {
-	b, err := encoder.DecodeOwnerBeat(rec.Value)
-	if err == nil && b.Token == r.claims[dataCentre].Token {
-		r.beats[dataCentre] = Beat{Content: b, At: now}
-	}
-	return err
-}
-
-func (r *Registry) host(name string, rec briarspring.KeyedRecord) error {
-	p, err := encoder.DecodeHostPresence(rec.Value)
-	if err == nil {
-		r.hosts[name] = p
-	}
-	return err
-}
-
 func (r *Registry) forget(id briarspring.WorkflowID) {
 	if e := r.workflows[id]; e != nil {
 		r.countWaiting(e, -1)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -16,6 +16,7 @@
 	"briarspring/encoder"
 	"briarspring/registrar"
 	"briarspring/replicator"
+	"briarspring/sleeper"
 	"briarspring/tracker"
 )
 
@@ -64,7 +65,6 @@
 	Incarnation int64
 	MilliCPU    int // Processors of the host, in thousandths of a core.
 	Lease       time.Duration
-	MaxLease    time.Duration // Longest lease that the platform allows.
 
 	Store     Store
 	Shared    Writer
@@ -109,7 +109,7 @@
 	lastAttempt time.Duration
 	term        *term
 	stopping    bool
-	stopped     chan struct{}
+	duties      sync.WaitGroup
 }
 
 // New returns a steward; Run makes it work.
@@ -121,7 +121,7 @@
 		c.Follow = func(bool) {}
 	}
 	return &Steward{
-		config: c, logger: c.Logger.With("data-centre", c.DataCentre), done: make(chan struct{}), stopped: make(chan struct{}),
+		config: c, logger: c.Logger.With("data-centre", c.DataCentre), done: make(chan struct{}),
 	}
 }
 
@@ -131,6 +131,7 @@
 // Run works until the context ends.
 func (s *Steward) Run(ctx context.Context) {
 	defer close(s.done)
+	defer s.duties.Wait()
 	sub := s.config.Replica.Subscribe()
 	defer sub.Close()
 	tick := time.NewTicker(decideInterval)
@@ -192,6 +193,29 @@
 	s.mu.Lock()
 	s.term = nil
 	s.mu.Unlock()
+	retirement, err := t.retirement()
+	if err != nil {
+		s.logger.Error("retirement can't be encoded", "error", err)
+		return
+	}
+	s.duties.Go(func() { s.retire(ctx, retirement) })
+}
+
+// retire records that a term has ended, so that a successor need not wait for
+// leases that this process will not renew.
+func (s *Steward) retire(ctx context.Context, record briarspring.KeyedRecord) {
+	ctx, cancel := context.WithTimeout(ctx, maxUnreachable)
+	defer cancel()
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := s.config.Shared.Write(callCtx, record)
+		cancel()
+		if err == nil {
+			return
+		}
+		s.logger.Warn("retirement is not recorded yet", "key", record.Key, "error", err)
+		_ = sleeper.For(ctx, setupPause)
+	}
 }
 
 // maybeClaim claims the data centre when that is due.
@@ -210,7 +234,7 @@
 }
 
 // write records a claim; an empty owner gives the data centre up.
-func (s *Steward) write(ctx context.Context, owner string, previous uint64) {
+func (s *Steward) write(ctx context.Context, owner string, previous uint64, more ...briarspring.KeyedRecord) {
 	c := briarspring.DataCentreClaim{
 		DataCentre: s.config.DataCentre, Previous: previous, Owner: owner, Incarnation: s.config.Incarnation,
 	}
@@ -221,7 +245,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err = s.config.Shared.Write(ctx, briarspring.KeyedRecord{Key: registrar.ClaimKey(c), Value: value})
+	err = s.config.Shared.Write(ctx, append(more, briarspring.KeyedRecord{Key: registrar.ClaimKey(c), Value: value})...)
 	if err != nil {
 		s.logger.Warn("claim is not confirmed", "owner", owner, "previous", previous, "error", err)
 	}
@@ -299,6 +323,11 @@
 		case <-ctx.Done():
 		}
 	}()
-	s.write(ctx, "", t.claim.Token)
+	retirement, err := t.retirement()
+	if err != nil {
+		s.logger.Error("retirement can't be encoded", "error", err)
+		return
+	}
+	s.write(ctx, "", t.claim.Token, retirement)
 	s.logger.Info("gave the data centre up", "token", t.claim.Token)
 }
--- a/steward/term.go
+++ b/steward/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -120,6 +121,18 @@
 	t.logger.Info("owns the data centre no more", "served-ms", (t.config.Now() - t.started).Milliseconds())
 }
 
+// retirement returns the record that this term gives no more orders.
+func (t *term) retirement() (briarspring.KeyedRecord, error) {
+	var m briarspring.Retirement
+	t.mu.Lock()
+	if t.engine != nil {
+		m.Silent = t.engine.Silent(t.config.Now())
+	}
+	t.mu.Unlock()
+	value, err := encoder.Retirement(m)
+	return briarspring.KeyedRecord{Key: registrar.RetireKey(t.config.DataCentre, t.claim.Token), Value: value}, err
+}
+
 // inForce reports whether the claim is the last one, as far as the log was
 // read.
 func (t *term) inForce() bool {
@@ -186,8 +199,8 @@
 	defer t.mu.Unlock()
 	now := t.config.Now()
 	t.engine = dispatcher.New(now, dispatcher.Config{
-		DataCentre: t.config.DataCentre, Token: t.claim.Token, Lease: t.config.Lease, MaxLease: t.config.MaxLease,
-		Predecessor: t.claim.Previous != 0, MaxUnreachable: maxUnreachable, Pacer: t.config.NewPacer(), Logger: t.logger,
+		DataCentre: t.config.DataCentre, Token: t.claim.Token, Lease: t.config.Lease,
+		Predecessor: t.claim.Previous != 0, Pacer: t.config.NewPacer(), Logger: t.logger,
 	})
 	t.engine.SetOut(now, t.config.Catalogue.Out(t.config.DataCentre))
 	if t.claim.Previous != 0 && t.steward.recentGap(now) {
@@ -317,11 +330,10 @@
 	defer t.mu.Unlock()
 	t.engine.SetOut(now, out)
 	t.config.Replica.View(func(r *registrar.Registry) {
-		if prev, ok := r.PreviousOwner(t.config.DataCentre, t.claim.Token); ok {
-			if p, ok := r.Host(prev.Owner); prev.Owner == "" || ok && p.Incarnation > prev.Incarnation || prev.Owner == t.config.Host {
-				t.engine.PredecessorGone(now)
-			}
+		if at, ok := r.EarlierGone(now, maxUnreachable, t.config.DataCentre); ok {
+			t.engine.EarlierGone(at)
 		}
+		t.engine.EarlierSilent(maps.Clone(r.Silent(t.config.DataCentre)))
 		if all {
 			r.Workflows(func(e *registrar.Entry) { t.takeWorkflow(now, e, nil) })
 			return
--- a/stream.go
+++ b/stream.go
@@ -1,5 +1,7 @@
 package briarspring
 
+import "time"
+
 // Names of the keyed streams that hosts share.
 const (
 	// SharedStream holds submissions, cancellations, phases, claims and beats.
@@ -77,3 +79,14 @@
 	To    string
 	Tasks []TaskProgress
 }
+
+// Retirement is an owner's last word: it gives no more orders.
+type Retirement struct {
+	Silent []SilentWorker
+}
+
+// SilentWorker is a worker that did not answer an owner when it retired.
+type SilentWorker struct {
+	Worker    string
+	LeaseLeft time.Duration // After that all its runs have certainly ended.
+}
