--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"briarspring"
+	"briarspring/balancer"
 	"briarspring/encoder"
 	"briarspring/registrar"
 	"briarspring/replicator"
@@ -139,9 +140,8 @@
 	w.Queue, w.Service, w.Priority = q.Name, q.Service, q.Priority
 	w.MaxAttempts, w.Stretch, w.Allowance = q.MaxAttempts, q.Stretch, q.Allowance
 	w.Submitted = time.Now()
-	choice := a.choose()
-	w.DataCentre = choice.DataCentre
-	if err := a.admit(q, w, choice); err != nil {
+	w.DataCentre = a.choose()
+	if err := a.admit(q, w); err != nil {
 		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "error", err)
 		return err
 	}
@@ -159,6 +159,15 @@
 	return err
 }
 
+// choose picks the data centre for a new workflow.
+func (a *Admitter) choose() string {
+	var options []balancer.Option
+	a.config.Replica.View(func(r *registrar.Registry) {
+		options = balancer.Options(a.config.Now(), a.config.DataCentres, r, a.config.Catalogue)
+	})
+	return balancer.Choose(a.config.DataCentre, options)
+}
+
 func (a *Admitter) known(id briarspring.WorkflowID) bool {
 	known := false
 	a.config.Replica.View(func(r *registrar.Registry) { known = r.Workflow(id) != nil })
@@ -166,7 +175,7 @@
 }
 
 // admit returns why a workflow can't be accepted, or nil.
-func (a *Admitter) admit(q briarspring.Queue, w *briarspring.Workflow, c Choice) error {
+func (a *Admitter) admit(q briarspring.Queue, w *briarspring.Workflow) error {
 	switch {
 	case q.Advised:
 		return &RefusedError{Reason: "queues with an advisory service are not supported"}
@@ -174,7 +183,7 @@
 		return &RefusedError{Reason: "the workflow has no steps"}
 	case !a.Reachable():
 		return &RefusedError{Reason: "the log is out of reach", RetryAfter: retryAfter}
-	case c.DataCentre == "":
+	case w.DataCentre == "":
 		return &RefusedError{Reason: "no data centre is in service", RetryAfter: retryAfter}
 	}
 	return nil
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -107,7 +107,7 @@
 	l.Add("presence", newPresence(c, incarnation, shared))
 	for _, name := range c.DataCentres {
 		l.Add("steward-"+name, steward.New(steward.Config{
-			Host: c.Host, HostCentre: c.DataCentre, DataCentre: name, Incarnation: incarnation, MilliCPU: c.MilliCPU,
+			Host: c.Host, HostCentre: c.DataCentre, DataCentre: name, DataCentres: c.DataCentres, Incarnation: incarnation, MilliCPU: c.MilliCPU,
 			Lease: min(usualLease, c.MaxLease),
 			Store: c.Store, Shared: shared, Workers: c.Workers, List: list, Catalogue: catalogue, Replica: replica,
 			Reading: reading, Listing: listing, NewPacer: func() dispatcher.Pacer { return pacer.New() }, Now: c.Now, Logger: logger,
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -32,7 +32,7 @@
 	var b Batch
 	for id, j := range d.dirty {
 		delete(d.dirty, id)
-		if j.recorded || j.cancelled {
+		if j.recorded || j.cancelled || j.away {
 			continue
 		}
 		value, err := encoder.RunProgress(j.progress())
@@ -62,7 +62,7 @@
 
 // finished reports whether nothing more can become of the job.
 func (j *job) finished() bool {
-	return (j.cancelled || j.recorded) && j.alive() == 0
+	return (j.cancelled || j.recorded || j.away) && j.alive() == 0
 }
 
 // progress returns what is to be kept of the tasks that have run.
@@ -103,7 +103,7 @@
 func (d *Dispatcher) TakePhases() []briarspring.KeyedRecord {
 	var list []briarspring.KeyedRecord
 	for id, j := range d.jobs {
-		if j.phase == j.published || j.cancelled {
+		if j.phase == j.published || j.cancelled || j.away {
 			continue
 		}
 		key := registrar.RunningKey(id)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -76,13 +76,14 @@
 	holdStarts   time.Duration            // No workflow of the predecessor's time starts before.
 	barrierNoted bool
 
-	orders   []Order
-	dirty    map[briarspring.WorkflowID]*job
-	shared   []briarspring.KeyedRecord
-	changed  bool
-	averages averages
-	now      time.Duration
-	counters Counters
+	orders    []Order
+	dirty     map[briarspring.WorkflowID]*job
+	shared    []briarspring.KeyedRecord
+	changed   bool
+	averages  averages
+	now       time.Duration
+	counters  Counters
+	transfers int // Number of the last transfer.
 }
 
 // Counters counts what a dispatcher did, for metrics.
@@ -187,6 +188,7 @@
 		}
 		b.Total += w.entry.Capacity.MilliCPU()
 		b.Free += w.free().MilliCPU()
+		b.Largest = max(b.Largest, w.free().MilliCPU())
 	}
 	for _, j := range d.jobs {
 		if !j.over() && !j.workflow.Lasting() {
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -19,6 +19,7 @@
 	recorded  bool              // The final phase is in the log.
 	dropped   bool              // The progress record was dropped.
 	hasRecord bool              // A progress record exists or is on its way.
+	away      bool              // All tasks were transferred to other data centres.
 }
 
 // step is a group of equal tasks of a job.
@@ -37,6 +38,7 @@
 	index      int
 	position   int
 	mine       bool // This data centre runs it.
+	leaving    bool // Its transfer to another data centre is on its way.
 	done       bool
 	failures   int
 	lastRun    uint32
@@ -74,7 +76,7 @@
 }
 
 // over reports whether no task of the job may start any more.
-func (j *job) over() bool { return j.cancelled || j.phase.Final() }
+func (j *job) over() bool { return j.cancelled || j.away || j.phase.Final() }
 
 // alive returns the number of runs that may be alive.
 func (j *job) alive() int {
@@ -101,7 +103,7 @@
 }
 
 // pending reports whether the task needs a run.
-func (t *task) pending() bool { return t.mine && !t.done && len(t.runs) == 0 }
+func (t *task) pending() bool { return t.mine && !t.leaving && !t.done && len(t.runs) == 0 }
 
 // started notes a run of the task.
 func (t *task) started(r *run) {
@@ -187,17 +189,31 @@
 }
 
 // Keep tells which tasks of a workflow this data centre runs, by position.
-// Tasks that were transferred away are not started here any more.
-func (d *Dispatcher) Keep(now time.Duration, id briarspring.WorkflowID, mine func(position int) bool) {
+// Tasks that were transferred away are not started here any more, and a
+// workflow without any other is dropped. What tasks bring along that come from
+// elsewhere is looked up by position.
+func (d *Dispatcher) Keep(now time.Duration, id briarspring.WorkflowID, mine func(position int) bool, brought map[int]briarspring.TaskProgress) {
 	d.now = now
 	j := d.jobs[id]
 	if j == nil {
 		return
 	}
+	j.away = true
 	for _, t := range j.tasks {
+		was := t.mine
 		t.mine = mine(t.position)
+		if t.mine {
+			j.away = false
+		}
+		t.leaving = t.leaving && t.mine
+		if p, ok := brought[t.position]; ok && t.mine && !was {
+			p.Worker = ""
+			t.readySince = now
+			d.resume(j, p)
+		}
 	}
 	d.changed = true
+	d.settle(j)
 }
 
 // Cancel ends a workflow.
--- /dev/null
+++ b/dispatcher/transfer.go
@@ -0,0 +1,141 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"briarspring"
+)
+
+const (
+	// lastingWait of a lasting task that finds no room, before it goes to another
+	// data centre; well below the 3 s in which it has to be at work again.
+	lastingWait = 600 * time.Millisecond
+	// urgentWait is the same for a workflow whose processors are reserved and of
+	// which nothing runs; half of the time that its objective leaves.
+	urgentWait = 150 * time.Millisecond
+	// maxTransfers bounds the workflows of one round.
+	maxTransfers = 16
+)
+
+// Transfer gives waiting tasks of a workflow to another data centre.
+type Transfer struct {
+	Workflow briarspring.WorkflowID
+	Number   int // Tells the transfers of this owner apart.
+	Content  briarspring.TaskTransfer
+}
+
+// TakeTransfers returns the transfers that are due. Choose picks a data centre
+// for a task of a step, or returns none. The tasks are not started here unless
+// the transfer turns out to be void.
+func (d *Dispatcher) TakeTransfers(now time.Duration, choose func(*briarspring.Step) string) []Transfer {
+	d.now = now
+	if !d.open() {
+		return nil
+	}
+	var list []Transfer
+	for _, j := range d.waitingJobs() {
+		if len(list) >= maxTransfers {
+			break
+		}
+		tasks := d.leavers(j)
+		if len(tasks) == 0 {
+			continue
+		}
+		to := choose(tasks[0].step.spec())
+		if to == "" {
+			continue
+		}
+		list = append(list, d.transfer(j, tasks, to))
+	}
+	return list
+}
+
+// waitingJobs returns the jobs with tasks that may start but do not, in order.
+func (d *Dispatcher) waitingJobs() []*job {
+	var jobs []*job
+	for _, j := range d.jobs {
+		if j.over() {
+			continue
+		}
+		for _, s := range j.steps {
+			if s.waiting > 0 && s.ready() {
+				jobs = append(jobs, j)
+				break
+			}
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.workflow.ID, b.workflow.ID) })
+	return jobs
+}
+
+// leavers returns the tasks of a job that should go elsewhere: single tasks of a
+// lasting one, and all or none of any other, so that its steps stay together.
+func (d *Dispatcher) leavers(j *job) []*task {
+	var tasks []*task
+	due := false
+	for _, t := range j.tasks {
+		if !t.mine || t.leaving {
+			continue
+		}
+		spec := t.step.spec()
+		if spec.Lasting {
+			if t.pending() && (d.out || d.now-t.readySince > lastingWait) {
+				tasks = append(tasks, t)
+				due = true
+			}
+			continue
+		}
+		if len(t.runs) > 0 {
+			return nil
+		}
+		tasks = append(tasks, t)
+		if t.pending() && t.step.ready() && (d.out || !spec.Fills && d.now-t.readySince > urgentWait) {
+			due = true
+		}
+	}
+	if !due {
+		return nil
+	}
+	// The first one decides where they go, so it must be one that waits.
+	slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(needOf(b), needOf(a)) })
+	return tasks
+}
+
+// needOf returns what a task that waits needs, and less for others.
+func needOf(t *task) int64 {
+	if !t.pending() || !t.step.ready() {
+		return -1
+	}
+	return t.step.spec().Resources.MilliCPU()
+}
+
+func (d *Dispatcher) transfer(j *job, tasks []*task, to string) Transfer {
+	d.transfers++
+	tr := Transfer{Workflow: j.workflow.ID, Number: d.transfers, Content: briarspring.TaskTransfer{
+		Token: d.config.Token, From: d.config.DataCentre, To: to,
+	}}
+	for _, t := range tasks {
+		t.leaving = true
+		tr.Content.Tasks = append(tr.Content.Tasks, briarspring.TaskProgress{
+			Position: t.position, Done: t.done, Failures: t.failures, Run: t.lastRun, Checkpoint: t.checkpoint,
+		})
+	}
+	d.logger.Info("tasks go to another data centre", "workflow", j.workflow.ID, "tasks", len(tasks), "to", to,
+		"out", d.out, "waited-ms", (d.now - tasks[0].readySince).Milliseconds())
+	return tr
+}
+
+// TransferFailed tells that a transfer was certainly not recorded.
+func (d *Dispatcher) TransferFailed(now time.Duration, tr Transfer) {
+	d.now = now
+	j := d.jobs[tr.Workflow]
+	if j == nil {
+		return
+	}
+	for _, p := range tr.Content.Tasks {
+		j.tasks[p.Position].leaving = false
+	}
+	d.changed = true
+}
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -125,6 +125,7 @@
 func OwnerBeat(b briarspring.OwnerBeat) ([]byte, error) {
 	return proto.Marshal(&pb.OwnerBeat{
 		Token: b.Token, BacklogMilliCpuSeconds: b.Backlog, FreeMilliCpu: b.Free, TotalMilliCpu: b.Total, Accepts: b.Accepts,
+		LargestMilliCpu: b.Largest,
 	})
 }
 
@@ -136,6 +137,7 @@
 	}
 	return briarspring.OwnerBeat{
 		Token: m.Token, Backlog: m.BacklogMilliCpuSeconds, Free: m.FreeMilliCpu, Total: m.TotalMilliCpu, Accepts: m.Accepts,
+		Largest: m.LargestMilliCpu,
 	}, nil
 }
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -62,6 +62,7 @@
 	Host        string
 	HostCentre  string // Data centre of the host.
 	DataCentre  string // That may be claimed.
+	DataCentres []string
 	Incarnation int64
 	MilliCPU    int // Processors of the host, in thousandths of a core.
 	Lease       time.Duration
--- a/steward/term.go
+++ b/steward/term.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"briarspring"
+	"briarspring/balancer"
 	"briarspring/dispatcher"
 	"briarspring/encoder"
 	"briarspring/registrar"
@@ -232,7 +233,13 @@
 		t.engine.Submit(now, age, w, e.Offset(), t.withMoved(e, progress))
 	}
 	if len(e.Moved()) > 0 {
-		t.engine.Keep(now, w.ID, func(position int) bool { return e.DataCentre(position) == t.config.DataCentre })
+		brought := map[int]briarspring.TaskProgress{}
+		for position, m := range e.Moved() {
+			if m.To == t.config.DataCentre {
+				brought[position] = m.Progress
+			}
+		}
+		t.engine.Keep(now, w.ID, func(position int) bool { return e.DataCentre(position) == t.config.DataCentre }, brought)
 	}
 	if e.Cancelled() {
 		t.engine.Cancel(now, w.ID)
@@ -255,15 +262,23 @@
 	return false
 }
 
-// withMoved adds what transferred tasks brought along.
+// withMoved adds what transferred tasks brought along. A task may have run here
+// before it left, or after it came back, so the word with the higher run counts.
 func (t *term) withMoved(e *registrar.Entry, progress []briarspring.TaskProgress) []briarspring.TaskProgress {
-	known := map[int]bool{}
-	for _, p := range progress {
-		known[p.Position] = true
+	known := map[int]int{}
+	for i, p := range progress {
+		known[p.Position] = i
 	}
 	for position, m := range e.Moved() {
-		if m.To == t.config.DataCentre && !known[position] {
+		if m.To != t.config.DataCentre {
+			continue
+		}
+		i, ok := known[position]
+		switch {
+		case !ok:
 			progress = append(progress, m.Progress)
+		case progress[i].Run < m.Progress.Run || m.Progress.Done:
+			progress[i] = m.Progress
 		}
 	}
 	return progress
@@ -394,6 +409,29 @@
 	}
 	poke(t.commit)
 	poke(t.phases)
+	t.transfer(ctx, now, duties)
+}
+
+// transfer gives tasks to other data centres that can't start here.
+func (t *term) transfer(ctx context.Context, now time.Duration, duties *sync.WaitGroup) {
+	var options []balancer.Option
+	t.config.Replica.View(func(r *registrar.Registry) {
+		options = balancer.Options(now, t.config.DataCentres, r, t.config.Catalogue)
+	})
+	t.mu.Lock()
+	transfers := t.engine.TakeTransfers(now, func(s *briarspring.Step) string {
+		return balancer.Elsewhere(t.config.DataCentre, s, options)
+	})
+	t.mu.Unlock()
+	for _, tr := range transfers {
+		value, err := encoder.TaskTransfer(tr.Content)
+		if err != nil {
+			t.logger.Error("transfer can't be encoded", "workflow", tr.Workflow, "error", err)
+			continue
+		}
+		record := briarspring.KeyedRecord{Key: registrar.TransferKey(tr.Workflow, t.claim.Token, tr.Number), Value: value}
+		duties.Go(func() { t.publish(ctx, []briarspring.KeyedRecord{record}) })
+	}
 }
 
 // send carries an order out and tells the dispatcher the outcome.
--- a/stream.go
+++ b/stream.go
@@ -51,6 +51,7 @@
 	Token   uint64
 	Backlog int64 // Declared work that waits, in thousandths of a core times seconds.
 	Free    int64 // Thousandths of a core that are not reserved.
+	Largest int64 // The same of the worker with most of them.
 	Total   int64 // Thousandths of a core of all usable workers.
 	Accepts bool  // False while the data centre is out of service.
 }
