Claims and transfers keep their place in the stream; a failed run counts once

A keyed stream keeps the newest record of a key, so hosts that restored their state saw the claim at its later place, took another one for the winner, and two chains of owners ran side by side.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
-	"strconv"
 	"strings"
 	"time"
 
@@ -150,8 +148,7 @@
 		return &RefusedError{Reason: err.Error()}
 	}
 	err = a.store(ctx, w.ID, func() briarspring.KeyedRecord {
-		try := strconv.FormatUint(uint64(rand.Uint32()), 36)
-		return briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID, try), Value: value}
+		return briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID, registrar.NewTry()), Value: value}
 	})
 	age, _ := a.config.Reading.Age()
 	a.config.Logger.Info("submission", "workflow", w.ID, "queue", q.Name, "data-centre", w.DataCentre, "tasks", w.TaskCount(),
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"slices"
+
 	"briarspring"
 	"briarspring/encoder"
 	"briarspring/registrar"
@@ -69,11 +71,11 @@
 func (j *job) progress() []briarspring.TaskProgress {
 	var list []briarspring.TaskProgress
 	for _, t := range j.tasks {
-		if t.lastRun == 0 && t.failures == 0 && !t.done {
+		if t.lastRun == 0 && len(t.failedRuns) == 0 && !t.done {
 			continue
 		}
 		p := briarspring.TaskProgress{
-			Position: t.position, Done: t.done, Failures: t.failures, Run: t.lastRun, Checkpoint: t.checkpoint,
+			Position: t.position, Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Run: t.lastRun, Checkpoint: t.checkpoint,
 		}
 		if t.done {
 			p.Checkpoint = ""
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -140,7 +140,7 @@
 		t.finish()
 	case briarspring.RunFailed:
 		d.counters.Failed++
-		t.failures++
+		t.fail(e.Run.Run)
 		t.avoid = w
 		if r != nil && !r.stopping {
 			d.failedOn(w, r)
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"briarspring"
@@ -40,7 +41,7 @@
 	mine       bool // This data centre runs it.
 	leaving    bool // Its transfer to another data centre is on its way.
 	done       bool
-	failures   int
+	failedRuns []uint32
 	lastRun    uint32
 	checkpoint string
 	runs       []*run
@@ -105,6 +106,17 @@
 // pending reports whether the task needs a run.
 func (t *task) pending() bool { return t.mine && !t.leaving && !t.done && len(t.runs) == 0 }
 
+// failures returns how many runs of the task have failed.
+func (t *task) failures() int { return len(t.failedRuns) }
+
+// fail counts a failed run. An end may be listed again to a new owner, so each
+// run counts once.
+func (t *task) fail(run uint32) {
+	if !slices.Contains(t.failedRuns, run) {
+		t.failedRuns = append(t.failedRuns, run)
+	}
+}
+
 // started notes a run of the task.
 func (t *task) started(r *run) {
 	if len(t.runs) == 0 {
@@ -158,7 +170,7 @@
 	}
 	j.hasRecord = true
 	t := j.tasks[p.Position]
-	t.failures = p.Failures
+	t.failedRuns = slices.Clone(p.FailedRuns)
 	t.lastRun = p.Run
 	t.checkpoint = p.Checkpoint
 	if p.Done {
@@ -267,7 +279,7 @@
 		left += s.left
 	}
 	for _, t := range j.tasks {
-		if !t.done && !t.step.spec().Lasting && j.workflow.MaxAttempts > 0 && t.failures >= j.workflow.MaxAttempts && len(t.runs) == 0 {
+		if !t.done && !t.step.spec().Lasting && j.workflow.MaxAttempts > 0 && t.failures() >= j.workflow.MaxAttempts && len(t.runs) == 0 {
 			phase = briarspring.PhaseFailed
 		}
 		if phase == briarspring.PhaseQueued && (t.done || len(t.runs) > 0 || t.lastRun > 0) {
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -60,7 +60,7 @@
 	d.removeRun(r)
 	d.markDirty(r.task.step.job)
 	if v == briarspring.VerdictInvalid {
-		r.task.failures++
+		r.task.fail(r.ref.Run)
 	}
 	d.settle(r.task.step.job)
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -181,7 +181,7 @@
 // exhausted reports whether the task has failed too often to start again.
 func (d *Dispatcher) exhausted(t *task) bool {
 	most := t.step.job.workflow.MaxAttempts
-	return !t.step.spec().Lasting && most > 0 && t.failures >= most
+	return !t.step.spec().Lasting && most > 0 && t.failures() >= most
 }
 
 // fits reports whether a task may run on a worker.
--- a/dispatcher/transfer.go
+++ b/dispatcher/transfer.go
@@ -119,23 +119,10 @@
 	for _, t := range tasks {
 		t.leaving = true
 		tr.Content.Tasks = append(tr.Content.Tasks, briarspring.TaskProgress{
-			Position: t.position, Done: t.done, Failures: t.failures, Run: t.lastRun, Checkpoint: t.checkpoint,
+			Position: t.position, Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Run: t.lastRun, Checkpoint: t.checkpoint,
 		})
 	}
 	d.logger.Info("tasks go to another data centre", "workflow", j.workflow.ID, "tasks", len(tasks), "to", to,
 		"out", d.out, "waited-ms", (d.now - tasks[0].readySince).Milliseconds())
 	return tr
 }
-
-// TransferFailed tells that a transfer was certainly not recorded.
-func (d *Dispatcher) TransferFailed(now time.Duration, tr Transfer) {
-	d.now = now
-	j := d.jobs[tr.Workflow]
-	if j == nil {
-		return
-	}
-	for _, p := range tr.Content.Tasks {
-		j.tasks[p.Position].leaving = false
-	}
-	d.changed = true
-}
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -189,7 +189,7 @@
 	list := make([]*pb.TaskProgress, 0, len(tasks))
 	for _, t := range tasks {
 		list = append(list, &pb.TaskProgress{
-			Position: int32(t.Position), Done: t.Done, Failures: uint32(t.Failures), Run: t.Run,
+			Position: int32(t.Position), Done: t.Done, FailedRuns: t.FailedRuns, Run: t.Run,
 			Checkpoint: t.Checkpoint, Worker: t.Worker,
 		})
 	}
@@ -203,7 +203,7 @@
 			return nil, malformed(what, "position %d", t.Position)
 		}
 		tasks = append(tasks, briarspring.TaskProgress{
-			Position: int(t.Position), Done: t.Done, Failures: int(t.Failures), Run: t.Run,
+			Position: int(t.Position), Done: t.Done, FailedRuns: t.FailedRuns, Run: t.Run,
 			Checkpoint: t.Checkpoint, Worker: t.Worker,
 		})
 	}
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"math/rand/v2"
 	"strconv"
 
 	"briarspring"
@@ -19,9 +20,7 @@
 	prefixRetire     = "q/"
 )
 
-// SubmissionKey returns the key of one try to submit a workflow. Every append
-// has a name of its own, so that all of them stay readable and the first one is
-// known for good.
+// SubmissionKey returns the key of one try to submit a workflow.
 func SubmissionKey(id briarspring.WorkflowID, try string) string {
 	return prefixSubmission + string(id) + "/" + try
 }
@@ -35,18 +34,20 @@
 // FinalKey returns the key of a workflow's final phase.
 func FinalKey(id briarspring.WorkflowID) string { return prefixFinal + string(id) }
 
-// TransferKey returns the key of a transfer of a workflow's tasks; number tells
-// the transfers of one token apart.
-func TransferKey(id briarspring.WorkflowID, token uint64, number int) string {
-	return prefixTransfer + string(id) + "/" + strconv.FormatUint(token, 10) + "." + strconv.Itoa(number)
+// TransferKey returns the key of one try to record a transfer of a workflow's
+// tasks; number tells the transfers of one token apart.
+func TransferKey(id briarspring.WorkflowID, token uint64, number int, try string) string {
+	return prefixTransfer + string(id) + "/" + strconv.FormatUint(token, 10) + "." + strconv.Itoa(number) + "/" + try
 }
 
-// ClaimKey returns the key of a claim. Claims that compete have different keys,
-// so that the first one stays readable.
-func ClaimKey(c briarspring.DataCentreClaim) string {
-	return prefixClaim + c.DataCentre + "/" + strconv.FormatUint(c.Previous, 10) + "/" + c.Owner + "/" +
-		strconv.FormatInt(c.Incarnation, 10)
-}
+// ClaimKey returns the key of one try to claim a data centre.
+func ClaimKey(dataCentre, try string) string { return prefixClaim + dataCentre + "/" + try }
+
+// NewTry returns a name for one append of a record whose place in the stream
+// decides its effect. A store keeps the newest record of a key only, so a record
+// that is appended again under the same key would seem to stand where the last
+// try does.
+func NewTry() string { return strconv.FormatUint(rand.Uint64(), 36) }
 
 // BeatKey returns the key of the sign of life of a data centre's owner.
 func BeatKey(dataCentre string) string { return prefixBeat + dataCentre }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -21,7 +21,8 @@
 	cancelled bool
 	finalAt   time.Duration
 	moved     map[int]Moved
-	keys      []string // Of its submissions and transfers.
+	keys      []string        // Of its submissions and transfers.
+	transfers map[string]bool // That were applied, by token and number.
 }
 
 // Moved is where a transferred task went and what it brought along.
@@ -263,12 +264,18 @@
 		return Change{}, nil
 	}
 	e.keys = append(e.keys, rec.Key)
+	name, _, _ := strings.Cut(strings.TrimPrefix(rest, string(e.workflow.ID)+"/"), "/")
+	if e.transfers[name] {
+		return Change{}, nil
+	}
 	if r.of(t.From).claim.Token != t.Token {
 		return Change{}, nil
 	}
 	if e.moved == nil {
 		e.moved = map[int]Moved{}
+		e.transfers = map[string]bool{}
 	}
+	e.transfers[name] = true
 	for _, p := range t.Tasks {
 		if e.DataCentre(p.Position) == t.From {
 			e.moved[p.Position] = Moved{To: t.To, Progress: p}
--- a/steward/commit.go
+++ b/steward/commit.go
@@ -97,7 +97,14 @@
 
 // publish writes records until they are stored. They are idempotent.
 func (t *term) publish(ctx context.Context, records []briarspring.KeyedRecord) {
+	t.publishTries(ctx, func() []briarspring.KeyedRecord { return records })
+}
+
+// publishTries writes records until they are stored, and asks for them anew for
+// each try.
+func (t *term) publishTries(ctx context.Context, try func() []briarspring.KeyedRecord) {
 	for ctx.Err() == nil {
+		records := try()
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 		err := t.config.Shared.Write(callCtx, records...)
 		cancel()
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -246,7 +246,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err = s.config.Shared.Write(ctx, append(more, briarspring.KeyedRecord{Key: registrar.ClaimKey(c), Value: value})...)
+	err = s.config.Shared.Write(ctx, append(more, briarspring.KeyedRecord{Key: registrar.ClaimKey(s.config.DataCentre, registrar.NewTry()), Value: value})...)
 	if err != nil {
 		s.logger.Warn("claim is not confirmed", "owner", owner, "previous", previous, "error", err)
 	}
--- a/steward/term.go
+++ b/steward/term.go
@@ -429,8 +429,12 @@
 			t.logger.Error("transfer can't be encoded", "workflow", tr.Workflow, "error", err)
 			continue
 		}
-		record := briarspring.KeyedRecord{Key: registrar.TransferKey(tr.Workflow, t.claim.Token, tr.Number), Value: value}
-		duties.Go(func() { t.publish(ctx, []briarspring.KeyedRecord{record}) })
+		duties.Go(func() {
+			t.publishTries(ctx, func() []briarspring.KeyedRecord {
+				key := registrar.TransferKey(tr.Workflow, t.claim.Token, tr.Number, registrar.NewTry())
+				return []briarspring.KeyedRecord{{Key: key, Value: value}}
+			})
+		})
 	}
 }
 
