--- /dev/null
+++ b/assembler/history_test.go
@@ -0,0 +1,227 @@
+package assembler_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"briarspring"
+	"briarspring/imitator"
+)
+
+var (
+	histories = flag.Int("histories", 150, "random histories to run")
+	firstSeed = flag.Int("first-seed", 1, "seed of the first history")
+)
+
+// history is a run of random work and failures.
+type history struct {
+	*fleet
+	random    *rand.Rand
+	accepted  []briarspring.WorkflowID
+	cancelled map[briarspring.WorkflowID]bool
+	down      map[string]bool // Workers that crashed.
+	out       string          // Data centre that is out of service.
+	log       []string
+}
+
+// acts are what may happen; each returns after it began.
+var acts = map[string]func(h *history){
+	"submit": func(h *history) { h.submitRandom() },
+	"kill": func(h *history) {
+		host, down := h.randomHost(), h.upTo(5*time.Second)
+		h.duties.Go(func() { h.kill(host, down) })
+	},
+	"stop": func(h *history) {
+		host := h.randomHost()
+		h.duties.Go(func() {
+			host.cancel()
+			<-host.done
+			h.kill(host, 0)
+		})
+	},
+	"cut-store":   func(h *history) { h.cutForAWhile(true, false) },
+	"cut-workers": func(h *history) { h.cutForAWhile(false, true) },
+	"cut-all":     func(h *history) { h.cutForAWhile(true, true) },
+	"store-down":  func(h *history) { h.storeFaults(imitator.KeyedFaults{Down: true}) },
+	"store-hush":  func(h *history) { h.storeFaults(imitator.KeyedFaults{Silent: true}) },
+	"store-slow":  func(h *history) { h.storeFaults(imitator.KeyedFaults{Latency: 350 * time.Millisecond}) },
+	"store-lossy": func(h *history) { h.storeFaults(imitator.KeyedFaults{LoseShare: 0.3, LateShare: 0.5}) },
+	"store-forget": func(h *history) {
+		h.store.Forget()
+	},
+	"late-orders": func(h *history) {
+		h.pool.LoseOrders(0.2)
+		time.Sleep(h.upTo(4 * time.Second))
+		h.pool.LoseOrders(0)
+	},
+	"crash-worker": func(h *history) {
+		id, down := h.randomWorker(), h.upTo(8*time.Second)
+		if h.down[id] {
+			return
+		}
+		h.down[id] = true
+		h.pool.Crash(id)
+		h.duties.Go(func() {
+			time.Sleep(down)
+			h.pool.Restart(id)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			delete(h.down, id)
+		})
+	},
+	"out": func(h *history) {
+		if h.out != "" {
+			return
+		}
+		h.out = h.centres[h.random.IntN(len(h.centres))]
+		h.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "out/" + h.out, Value: []byte("1")})
+	},
+	"back": func(h *history) { h.takeBack() },
+	"cancel": func(h *history) {
+		if len(h.accepted) == 0 {
+			return
+		}
+		id := h.accepted[h.random.IntN(len(h.accepted))]
+		if h.cancelled[id] {
+			return
+		}
+		h.cancelled[id] = true
+		host := h.randomHost()
+		known, err := host.intake.Cancel(h.t.Context(), id)
+		h.note("cancel %s at %s: %t %v", id, host.caller, known, err)
+	},
+}
+
+// actNames fixes the order, so that a seed chooses the same acts every time.
+var actNames = []string{
+	"submit", "submit", "submit", "submit", "kill", "stop", "cut-store", "cut-workers", "cut-all", "store-down", "store-hush",
+	"store-slow", "store-lossy", "store-forget", "late-orders", "crash-worker", "crash-worker", "out", "back", "cancel",
+}
+
+func (h *history) note(format string, args ...any) {
+	h.log = append(h.log, fmt.Sprintf("%8.3f ", time.Since(h.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (h *history) upTo(d time.Duration) time.Duration {
+	return time.Duration(h.random.Int64N(int64(d))) + 100*time.Millisecond
+}
+
+func (h *history) randomHost() *testHost {
+	return h.host(h.centres[h.random.IntN(len(h.centres))], h.random.IntN(hostsPerCentre))
+}
+
+func (h *history) randomWorker() string {
+	return fmt.Sprintf("worker-%s-%d", h.centres[h.random.IntN(len(h.centres))], h.random.IntN(workersPerCentre))
+}
+
+func (h *history) cutForAWhile(store, workers bool) {
+	host, length := h.randomHost(), h.upTo(8*time.Second)
+	h.cutOff(host, store, workers, true)
+	h.duties.Go(func() {
+		time.Sleep(length)
+		h.cutOff(host, store, workers, false)
+	})
+}
+
+// storeFaults breaks the store for a while. Cuts of single hosts end with it.
+func (h *history) storeFaults(f imitator.KeyedFaults) {
+	if f.Latency == 0 {
+		f.Latency = 5 * time.Millisecond
+	}
+	h.store.SetFaults(f)
+	time.Sleep(h.upTo(7 * time.Second))
+	h.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+}
+
+func (h *history) takeBack() {
+	if h.out != "" {
+		h.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "out/" + h.out})
+		h.out = ""
+	}
+}
+
+func (h *history) submitRandom() {
+	id := briarspring.WorkflowID(fmt.Sprintf("%015x%x", len(h.workflows)+1, h.random.IntN(16)))
+	var steps []briarspring.Step
+	if h.random.IntN(3) == 0 {
+		steps = append(steps, lastingStep(1+h.random.IntN(3)))
+	} else {
+		for i := range 1 + h.random.IntN(3) {
+			s := shortStep(1 + h.random.IntN(4))
+			s.Fills = h.random.IntN(2) == 0
+			if i > 0 {
+				s.After = []int{h.random.IntN(i)}
+			}
+			steps = append(steps, s)
+		}
+	}
+	if h.random.IntN(4) == 0 {
+		h.failing[briarspring.TaskRef{Workflow: id}] = 1 + h.random.IntN(2)
+	}
+	ok := h.submit(id, steps...)
+	h.note("submit %s accepted %t lasting %t", id, ok, steps[0].Lasting)
+	if ok {
+		h.accepted = append(h.accepted, id)
+	}
+}
+
+// heal ends every failure.
+func (h *history) heal() {
+	h.takeBack()
+	h.pool.LoseOrders(0)
+	h.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+	time.Sleep(40 * time.Second)
+}
+
+// TestHistories runs random histories of work and failures on two data centres
+// with two hosts each, and checks the workers' own account.
+func TestHistories(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*histories; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runHistory(t, uint64(seed)) })
+		})
+	}
+}
+
+func runHistory(t *testing.T, seed uint64) {
+	h := &history{
+		fleet: newFleet(t, seed, tartu, viljandi), random: rand.New(rand.NewPCG(seed, 7)),
+		cancelled: map[briarspring.WorkflowID]bool{}, down: map[string]bool{},
+	}
+	defer h.end()
+	for range 12 + h.random.IntN(18) {
+		name := actNames[h.random.IntN(len(actNames))]
+		h.note("%s", name)
+		acts[name](h)
+		time.Sleep(h.upTo(1500 * time.Millisecond))
+	}
+	h.heal()
+	assertNothingBroken(t, h.fleet)
+	for _, id := range h.accepted {
+		h.assertEnd(id)
+	}
+	if t.Failed() {
+		for _, line := range h.log {
+			t.Log(line)
+		}
+	}
+}
+
+// assertEnd checks that an accepted workflow came to its end.
+func (h *history) assertEnd(id briarspring.WorkflowID) {
+	phase := h.phase(id)
+	switch {
+	case h.cancelled[id]:
+		assert.True(h.t, phase.Final() || h.workflows[id].Steps[0].Lasting || phase != briarspring.PhaseQueued, "%s was cancelled and is %s", id, phase)
+	case h.workflows[id].Steps[0].Lasting:
+		assertRunning(h.t, h.fleet, id, time.Second)
+	default:
+		assert.Equal(h.t, briarspring.PhaseCompleted, phase, "phase of %s", id)
+	}
+}
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -72,6 +72,13 @@
 
 // NewHost returns the parts of a host that runs workflows.
 func NewHost(c HostConfig) (*launcher.Launcher, error) {
+	l, intake := NewCore(c)
+	return l, addFront(l, c, intake)
+}
+
+// NewCore returns the parts of a host without the servers for callers, and what
+// serves their requests.
+func NewCore(c HostConfig) (*launcher.Launcher, *admitter.Admitter) {
 	incarnation := time.Now().UnixMilli()
 	logger := c.Logger
 	shared := appender.New(appender.Config{Stream: briarspring.SharedStream, Store: c.Store})
@@ -120,7 +127,7 @@
 			},
 		}))
 	}
-	return l, addFront(l, c, intake)
+	return l, intake
 }
 
 // addFront adds the servers for callers and for the balancer.
--- /dev/null
+++ b/assembler/host_test.go
@@ -0,0 +1,342 @@
+package assembler_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"briarspring"
+	"briarspring/admitter"
+	"briarspring/assembler"
+	"briarspring/imitator"
+	"briarspring/launcher"
+)
+
+// fleet is a system in virtual time: hosts of some data centres, the platform's
+// stand-ins, and the workflows that were submitted.
+type fleet struct {
+	t       *testing.T
+	store   *imitator.KeyedStore
+	pool    *imitator.Pool
+	centres []string
+	stop    context.CancelFunc
+	began   time.Time
+
+	mu        sync.Mutex
+	workflows map[briarspring.WorkflowID]*briarspring.Workflow
+	failing   map[briarspring.TaskRef]int // Runs that fail before one is done.
+	hosts     map[string]*testHost
+	lives     int
+	listed    map[string]time.Time // When a worker was last up.
+	duties    sync.WaitGroup
+}
+
+// testHost is one life of a host.
+type testHost struct {
+	name   string
+	centre string
+	caller string
+	intake *admitter.Admitter
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// testDecoder reads the records that the tests write.
+type testDecoder struct{}
+
+// Directory returns the only queue.
+func (testDecoder) Directory(r briarspring.KeyedRecord) (briarspring.Directory, bool, error) {
+	if r.Key != "directory" {
+		return briarspring.Directory{}, false, nil
+	}
+	return briarspring.Directory{Version: 1, Queues: []briarspring.Queue{testQueue}}, true, nil
+}
+
+// OutOfService returns the data centre of a key such as "out/tartu".
+func (testDecoder) OutOfService(key string) (string, bool) {
+	if len(key) > 4 && key[:4] == "out/" {
+		return key[4:], true
+	}
+	return "", false
+}
+
+// Worker reads an entry that was written as JSON.
+func (testDecoder) Worker(r briarspring.KeyedRecord) (briarspring.WorkerEntry, error) {
+	var m struct {
+		Centre string
+		CPU    int64
+		Born   int64
+	}
+	if err := json.Unmarshal(r.Value, &m); err != nil {
+		return briarspring.WorkerEntry{}, err
+	}
+	return workerEntry(r.Key, m.Centre, m.CPU, m.Born), nil
+}
+
+func workerEntry(id, centre string, cpu, born int64) briarspring.WorkerEntry {
+	return briarspring.WorkerEntry{
+		ID: id, Address: id, Service: "ledger", DataCentre: centre, Rack: "r1", Born: born,
+		Capacity: briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: cpu, MemoryMiB: 64000}),
+	}
+}
+
+var testQueue = briarspring.Queue{
+	Name: "urgent", Host: "ledger.example", Prefix: "/urgent/", Service: "ledger", MaxAttempts: 3, Stretch: 1.5,
+	Allowance: 250 * time.Millisecond,
+}
+
+const (
+	workersPerCentre = 4
+	hostsPerCentre   = 2
+	workerCPU        = 8000
+)
+
+// newFleet starts data centres with hosts and workers, and waits until they
+// have owners.
+func newFleet(t *testing.T, seed uint64, centres ...string) *fleet {
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &fleet{
+		t: t, store: imitator.NewKeyedStore(seed), centres: centres, stop: cancel, began: time.Now(),
+		workflows: map[briarspring.WorkflowID]*briarspring.Workflow{}, failing: map[briarspring.TaskRef]int{},
+		hosts: map[string]*testHost{}, listed: map[string]time.Time{},
+	}
+	f.pool = imitator.NewPool(imitator.PoolConfig{Seed: seed, Latency: time.Millisecond, Plan: f.planRun, Spec: f.spec})
+	f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+	f.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "directory", Value: []byte("1")})
+	for _, centre := range centres {
+		for i := range workersPerCentre {
+			f.pool.Add(workerEntry(fmt.Sprintf("worker-%s-%d", centre, i), centre, workerCPU, 0))
+		}
+		for i := range hostsPerCentre {
+			f.start(centre, i)
+		}
+	}
+	f.duties.Go(func() { f.keepListing(ctx) })
+	time.Sleep(3 * time.Second)
+	return f
+}
+
+// planRun tells how long a run works: its estimate, or for good.
+func (f *fleet) planRun(r briarspring.RunRef) (time.Duration, briarspring.RunEnd) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workflows[r.Task.Workflow]
+	if w == nil || w.Steps[r.Task.Step].Lasting {
+		return 0, briarspring.RunDone
+	}
+	if f.failing[r.Task] > 0 {
+		f.failing[r.Task]--
+		return 100 * time.Millisecond, briarspring.RunFailed
+	}
+	return w.Steps[r.Task.Step].Estimate, briarspring.RunDone
+}
+
+func (f *fleet) spec(t briarspring.TaskRef) (*briarspring.Workflow, *briarspring.Step) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workflows[t.Workflow]
+	if w == nil {
+		return nil, nil
+	}
+	return w, &w.Steps[t.Step]
+}
+
+// keepListing writes the workers' entries; those of silent workers go after
+// three intervals.
+func (f *fleet) keepListing(ctx context.Context) {
+	const interval = time.Second
+	for ctx.Err() == nil {
+		up := map[string]bool{}
+		for _, e := range f.pool.Entries() {
+			up[e.ID] = true
+			f.listed[e.ID] = time.Now()
+			value, err := json.Marshal(map[string]any{"Centre": e.DataCentre, "CPU": e.Capacity.MilliCPU(), "Born": e.Born})
+			require.NoError(f.t, err)
+			f.store.Put(briarspring.WorkersStream, briarspring.KeyedRecord{Key: e.ID, Value: value})
+		}
+		for id, at := range f.listed {
+			if !up[id] && time.Since(at) > 3*interval {
+				delete(f.listed, id)
+				f.store.Put(briarspring.WorkersStream, briarspring.KeyedRecord{Key: id})
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
+
+// start begins a new life of a host.
+func (f *fleet) start(centre string, number int) *testHost {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	f.lives++
+	name := fmt.Sprintf("host-%s-%d", centre, number)
+	h := &testHost{
+		name: name, centre: centre, caller: fmt.Sprintf("%s#%d", name, f.lives), cancel: cancel, done: make(chan struct{}),
+	}
+	var l *launcher.Launcher
+	l, h.intake = assembler.NewCore(assembler.HostConfig{
+		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: 160, MaxLease: 6 * time.Second, StopTime: 3 * time.Second,
+		Store: f.store.For(h.caller), Workers: f.pool.For(h.caller), Decoder: testDecoder{},
+		Now: func() time.Duration { return time.Since(f.began) }, Logger: hclog.NewNullLogger(),
+	})
+	f.hosts[name] = h
+	go func() {
+		defer close(h.done)
+		l.Run(ctx)
+	}()
+	return h
+}
+
+// cutOff cuts a host off from the store, the workers or both, or mends it.
+func (f *fleet) cutOff(h *testHost, store, workers, cut bool) {
+	if store {
+		f.store.Cut(h.caller, cut)
+	}
+	if !workers {
+		return
+	}
+	for _, centre := range f.centres {
+		for i := range workersPerCentre {
+			f.pool.Cut(h.caller, fmt.Sprintf("worker-%s-%d", centre, i), cut)
+		}
+	}
+}
+
+// kill ends a host's life without a word, and begins a new one later.
+func (f *fleet) kill(h *testHost, down time.Duration) {
+	f.cutOff(h, true, true, true)
+	h.cancel()
+	time.Sleep(down)
+	var number int
+	_, err := fmt.Sscanf(h.name, "host-"+h.centre+"-%d", &number)
+	require.NoError(f.t, err)
+	f.start(h.centre, number)
+}
+
+// host returns the present life of a host.
+func (f *fleet) host(centre string, number int) *testHost {
+	return f.hosts[fmt.Sprintf("host-%s-%d", centre, number)]
+}
+
+// submit hands a workflow in at a host and at others until it is accepted.
+func (f *fleet) submit(id briarspring.WorkflowID, steps ...briarspring.Step) bool {
+	f.mu.Lock()
+	f.workflows[id] = &briarspring.Workflow{ID: id, Steps: steps, MaxAttempts: testQueue.MaxAttempts}
+	f.mu.Unlock()
+	for try := range 6 {
+		names := slices.Sorted(maps.Keys(f.hosts))
+		h := f.hosts[names[(int(id[len(id)-1])+try)%len(names)]]
+		ctx, cancel := context.WithTimeout(f.t.Context(), 2500*time.Millisecond)
+		err := h.intake.Submit(ctx, testQueue, &briarspring.Workflow{ID: id, Steps: slices.Clone(steps)})
+		cancel()
+		if err == nil {
+			return true
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return false
+}
+
+// phase returns a workflow's phase as the first host knows it; queued when it
+// does not know it yet, or can't tell.
+func (f *fleet) phase(id briarspring.WorkflowID) briarspring.Phase {
+	phase, _, err := f.host(f.centres[0], 0).intake.Phase(id)
+	if err != nil {
+		return briarspring.PhaseQueued
+	}
+	return phase
+}
+
+// centreOf returns the data centre in which the first task of a workflow runs.
+func (f *fleet) centreOf(id briarspring.WorkflowID) string {
+	for _, e := range f.pool.Entries() {
+		if f.pool.RunsOn(e.ID, briarspring.TaskRef{Workflow: id}) {
+			return e.DataCentre
+		}
+	}
+	return ""
+}
+
+// end stops everything, so that the bubble of virtual time can close.
+func (f *fleet) end() {
+	f.stop()
+	f.duties.Wait()
+	for _, h := range f.hosts {
+		f.cutOff(h, true, true, true)
+		h.cancel()
+	}
+	for _, h := range f.hosts {
+		<-h.done
+	}
+	time.Sleep(20 * time.Second)
+}
+
+// assertNothingBroken checks the workers' own account.
+func assertNothingBroken(t *testing.T, f *fleet) {
+	t.Helper()
+	assert.Empty(t, f.pool.Broken())
+}
+
+// assertPhase waits until a workflow reaches a phase.
+func assertPhase(t *testing.T, f *fleet, id briarspring.WorkflowID, want briarspring.Phase, within time.Duration) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for f.phase(id) != want && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, want, f.phase(id), "phase of %s after %s", id, within)
+}
+
+// assertRunning waits until every task of a lasting workflow runs once.
+func assertRunning(t *testing.T, f *fleet, id briarspring.WorkflowID, within time.Duration) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	tasks := f.workflows[id].Steps[0].Tasks
+	missing := func() int {
+		n := 0
+		for i := range tasks {
+			if f.pool.Running(briarspring.TaskRef{Workflow: id, Index: i}) != 1 {
+				n++
+			}
+		}
+		return n
+	}
+	for missing() > 0 && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Zero(t, missing(), "tasks of %s that don't run after %s", id, within)
+}
+
+func cores(n int64) briarspring.Resources {
+	return briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: n, MemoryMiB: 1000})
+}
+
+func shortStep(tasks int, after ...int) briarspring.Step {
+	return briarspring.Step{Tasks: tasks, Resources: cores(1000), Estimate: 800 * time.Millisecond, After: after}
+}
+
+func lastingStep(tasks int) briarspring.Step {
+	return briarspring.Step{Tasks: tasks, Resources: cores(2000), Lasting: true, Image: "watch"}
+}
+
+func inVirtualTime(t *testing.T, name string, test func(t *testing.T, f *fleet), centres ...string) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 1, centres...)
+			defer f.end()
+			test(t, f)
+		})
+	})
+}
--- /dev/null
+++ b/assembler/path_test.go
@@ -0,0 +1,193 @@
+package assembler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"briarspring"
+	"briarspring/imitator"
+)
+
+const (
+	tartu    = "tartu"
+	viljandi = "viljandi"
+)
+
+func TestHostsRunWorkflows(t *testing.T) {
+	inVirtualTime(t, "steps in order", func(t *testing.T, f *fleet) {
+		assert.True(t, f.submit("0000000000000001", shortStep(3), shortStep(2, 0), shortStep(1, 0, 1)))
+		assertPhase(t, f, "0000000000000001", briarspring.PhaseCompleted, 3200*time.Millisecond)
+		assert.Equal(t, 6, f.pool.Starts())
+		assertNothingBroken(t, f)
+	}, tartu)
+
+	inVirtualTime(t, "a failed task runs again", func(t *testing.T, f *fleet) {
+		f.failing[briarspring.TaskRef{Workflow: "0000000000000002"}] = 2
+		f.submit("0000000000000002", shortStep(1))
+		assertPhase(t, f, "0000000000000002", briarspring.PhaseCompleted, 3*time.Second)
+		assert.Equal(t, 3, f.pool.Starts())
+		assertNothingBroken(t, f)
+	}, tartu)
+
+	inVirtualTime(t, "a task that always fails ends its workflow", func(t *testing.T, f *fleet) {
+		f.failing[briarspring.TaskRef{Workflow: "0000000000000003"}] = 10
+		f.submit("0000000000000003", shortStep(1))
+		assertPhase(t, f, "0000000000000003", briarspring.PhaseFailed, 3*time.Second)
+		assert.Equal(t, 3, f.pool.Starts())
+		assertNothingBroken(t, f)
+	}, tartu)
+
+	inVirtualTime(t, "a cancelled workflow stops", func(t *testing.T, f *fleet) {
+		f.submit("0000000000000004", lastingStep(3))
+		assertRunning(t, f, "0000000000000004", time.Second)
+		known, err := f.host(tartu, 1).intake.Cancel(t.Context(), "0000000000000004")
+		assert.True(t, known)
+		assert.NoError(t, err)
+		time.Sleep(time.Second)
+		assert.Zero(t, f.pool.Running(briarspring.TaskRef{Workflow: "0000000000000004"}))
+		assertPhase(t, f, "0000000000000004", briarspring.PhaseCancelled, time.Second)
+	}, tartu)
+
+	inVirtualTime(t, "a repeated submission is one workflow", func(t *testing.T, f *fleet) {
+		f.submit("0000000000000005", shortStep(2))
+		for _, h := range f.hosts {
+			err := h.intake.Submit(t.Context(), testQueue, &briarspring.Workflow{ID: "0000000000000005", Steps: []briarspring.Step{shortStep(2)}})
+			assert.NoError(t, err)
+		}
+		assertPhase(t, f, "0000000000000005", briarspring.PhaseCompleted, 3*time.Second)
+		assert.Equal(t, 2, f.pool.Starts())
+		assertNothingBroken(t, f)
+	}, tartu, viljandi)
+}
+
+func TestTakeover(t *testing.T) {
+	inVirtualTime(t, "the owner is killed", func(t *testing.T, f *fleet) {
+		f.submit("0000000000000011", lastingStep(6))
+		assertRunning(t, f, "0000000000000011", time.Second)
+		f.submit("0000000000000012", shortStep(4), shortStep(4, 0))
+		starts := f.pool.Starts()
+		for i := range hostsPerCentre {
+			go f.kill(f.host(tartu, i), time.Duration(2+i)*time.Second)
+		}
+		assertPhase(t, f, "0000000000000012", briarspring.PhaseCompleted, 8*time.Second)
+		assertRunning(t, f, "0000000000000011", time.Second)
+		assert.LessOrEqual(t, f.pool.Starts()-starts, 8, "no lease may lapse")
+		assertNothingBroken(t, f)
+	}, tartu)
+
+	inVirtualTime(t, "an owner that loses the store is replaced", func(t *testing.T, f *fleet) {
+		f.submit("0000000000000013", lastingStep(6))
+		assertRunning(t, f, "0000000000000013", time.Second)
+		starts := f.pool.Starts()
+		for i := range hostsPerCentre {
+			f.cutOff(f.host(tartu, i), true, false, true)
+			time.Sleep(6 * time.Second)
+			f.cutOff(f.host(tartu, i), true, false, false)
+			time.Sleep(3 * time.Second)
+		}
+		assertRunning(t, f, "0000000000000013", time.Second)
+		assert.Equal(t, starts, f.pool.Starts(), "no lease may lapse")
+		assertNothingBroken(t, f)
+	}, tartu)
+
+	// A claim whose append had no answer is appended again. Hosts that restore
+	// their state must see it where it first stood.
+	inVirtualTime(t, "claims whose answers are lost", func(t *testing.T, f *fleet) {
+		f.submit("0000000000000014", lastingStep(4))
+		assertRunning(t, f, "0000000000000014", time.Second)
+		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond, LoseShare: 0.6, LateShare: 0.5})
+		go f.kill(f.host(tartu, 0), 3*time.Second)
+		go f.kill(f.host(viljandi, 1), 5*time.Second)
+		time.Sleep(9 * time.Second)
+		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+		f.store.Forget()
+		go f.kill(f.host(tartu, 1), time.Second)
+		time.Sleep(9 * time.Second)
+		f.submit("0000000000000015", shortStep(3))
+		assertPhase(t, f, "0000000000000015", briarspring.PhaseCompleted, 6*time.Second)
+		assertRunning(t, f, "0000000000000014", time.Second)
+		assertNothingBroken(t, f)
+	}, tartu, viljandi)
+
+	// The lease of a crashed worker must end although the owner goes on asking it.
+	inVirtualTime(t, "a worker crashes without a word", func(t *testing.T, f *fleet) {
+		f.submit("0000000000000016", lastingStep(6))
+		assertRunning(t, f, "0000000000000016", time.Second)
+		f.pool.Crash("worker-tartu-0")
+		f.pool.Crash("worker-tartu-1")
+		assertRunning(t, f, "0000000000000016", 7*time.Second)
+		assertNothingBroken(t, f)
+	}, tartu)
+
+	inVirtualTime(t, "a worker crashes, then its owner stops", func(t *testing.T, f *fleet) {
+		f.submit("0000000000000017", lastingStep(6))
+		assertRunning(t, f, "0000000000000017", time.Second)
+		f.pool.Crash("worker-tartu-0")
+		f.pool.Crash("worker-tartu-1")
+		time.Sleep(2 * time.Second)
+		for i := range hostsPerCentre {
+			f.host(tartu, i).cancel()
+			<-f.host(tartu, i).done
+			f.start(tartu, i)
+		}
+		assertRunning(t, f, "0000000000000017", 6*time.Second)
+		assertNothingBroken(t, f)
+	}, tartu)
+}
+
+func TestStoreTrouble(t *testing.T) {
+	inVirtualTime(t, "work goes on while the store is silent", func(t *testing.T, f *fleet) {
+		f.submit("0000000000000021", lastingStep(6))
+		f.submit("0000000000000022", shortStep(3), shortStep(3, 0), shortStep(3, 1))
+		time.Sleep(300 * time.Millisecond)
+		starts := f.pool.Starts()
+		f.store.SetFaults(imitator.KeyedFaults{Silent: true})
+		time.Sleep(9 * time.Second)
+		assert.Equal(t, starts+6, f.pool.Starts(), "steps that follow start without the store")
+		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+		assertPhase(t, f, "0000000000000022", briarspring.PhaseCompleted, 3*time.Second)
+		assertRunning(t, f, "0000000000000021", time.Second)
+		assertNothingBroken(t, f)
+	}, tartu)
+
+	inVirtualTime(t, "a host without the store refuses at once", func(t *testing.T, f *fleet) {
+		h := f.host(tartu, 0)
+		f.cutOff(h, true, false, true)
+		time.Sleep(4 * time.Second)
+		ready, _ := h.intake.Ready()
+		assert.False(t, ready)
+		began := time.Now()
+		err := h.intake.Submit(t.Context(), testQueue, &briarspring.Workflow{ID: "0000000000000023", Steps: []briarspring.Step{shortStep(1)}})
+		assert.ErrorContains(t, err, "the log is out of reach")
+		assert.Less(t, time.Since(began), 100*time.Millisecond)
+	}, tartu)
+
+	inVirtualTime(t, "orders are carried out late", func(t *testing.T, f *fleet) {
+		f.pool.LoseOrders(0.3)
+		f.submit("0000000000000024", lastingStep(8))
+		f.submit("0000000000000025", shortStep(6), shortStep(6, 0))
+		time.Sleep(8 * time.Second)
+		f.pool.LoseOrders(0)
+		assertPhase(t, f, "0000000000000025", briarspring.PhaseCompleted, 20*time.Second)
+		assertRunning(t, f, "0000000000000024", 20*time.Second)
+		assertNothingBroken(t, f)
+	}, tartu)
+}
+
+func TestDataCentreOutOfService(t *testing.T) {
+	inVirtualTime(t, "nothing starts there, and waiting work moves", func(t *testing.T, f *fleet) {
+		f.submit("0000000000000031", lastingStep(4))
+		assertRunning(t, f, "0000000000000031", time.Second)
+		home := f.centreOf("0000000000000031")
+		f.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "out/" + home, Value: []byte("1")})
+		time.Sleep(time.Second)
+		for i := range workersPerCentre {
+			f.pool.Crash("worker-" + home + "-" + string(rune('0'+i)))
+		}
+		assertRunning(t, f, "0000000000000031", 9*time.Second)
+		assert.NotEqual(t, home, f.centreOf("0000000000000031"))
+		assertNothingBroken(t, f)
+	}, tartu, viljandi)
+}
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -326,30 +326,40 @@
 // certain reports whether everything that was alive on a silent worker has
 // ended.
 func (d *Dispatcher) certain(w *worker) bool {
-	if w.fenced {
-		return d.now > w.lapsesAt()
-	}
-	if at, ok := d.silent[w.id]; ok {
-		return d.now > at
-	}
-	return d.earlierLapsed()
+	at, ok := d.lapseOf(w)
+	return ok && d.now > at
 }
 
-// earlierLapsed reports whether the leases that earlier owners gave have
-// certainly ended.
-func (d *Dispatcher) earlierLapsed() bool {
-	return d.gone && d.now > d.goneAt+time.Duration(float64(d.config.Lease)*(1+clockSkew))+lapseMargin
+// earlierLapse returns the time at which the leases have certainly ended that
+// earlier owners gave, once all of them are known to be gone.
+func (d *Dispatcher) earlierLapse() time.Duration {
+	return d.goneAt + time.Duration(float64(d.config.Lease)*(1+clockSkew)) + lapseMargin
 }
 
 // Silent returns the workers that do not answer, with the time after which all
-// their runs have certainly ended. Workers that never answered this owner are
-// left out, since others may have renewed their leases.
+// their runs have certainly ended. Workers whose leases others may still renew
+// are left out.
 func (d *Dispatcher) Silent(now time.Duration) []briarspring.SilentWorker {
 	var list []briarspring.SilentWorker
 	for _, w := range d.order {
-		if w.fenced && now-w.answeredAt >= silentAfter {
-			list = append(list, briarspring.SilentWorker{Worker: w.id, LeaseLeft: max(0, w.lapsesAt()-now)})
+		if w.fenced && now-w.answeredAt < silentAfter {
+			continue
+		}
+		if at, ok := d.lapseOf(w); ok {
+			list = append(list, briarspring.SilentWorker{Worker: w.id, LeaseLeft: max(0, at-now)})
 		}
 	}
 	return list
 }
+
+// lapseOf returns the time at which the lease of a silent worker has certainly
+// ended; false while others may renew it.
+func (d *Dispatcher) lapseOf(w *worker) (time.Duration, bool) {
+	if w.fenced {
+		return w.lapsesAt(), true
+	}
+	if at, ok := d.silent[w.id]; ok {
+		return at, true
+	}
+	return d.earlierLapse(), d.gone
+}
--- /dev/null
+++ b/imitator/keyed.go
@@ -0,0 +1,261 @@
+package imitator
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"briarspring"
+	"briarspring/sleeper"
+)
+
+// KeyedStore is a stand-in for the platform's keyed streams.
+type KeyedStore struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	faults  KeyedFaults
+	streams map[string]*keyedStream
+}
+
+// KeyedFaults are the failures of a KeyedStore that can be switched while it
+// runs.
+type KeyedFaults struct {
+	Down       bool          // Calls are refused.
+	Silent     bool          // Calls get no answer.
+	Latency    time.Duration // Of each call.
+	LoseShare  float64       // Share of appends that are done and not answered.
+	LateShare  float64       // Share of those that are done seconds later.
+	CutCallers map[string]bool
+}
+
+type keyedStream struct {
+	first    uint64 // Oldest offset that is kept in the history.
+	end      uint64
+	history  []briarspring.KeyedRecord
+	newest   map[string]briarspring.KeyedRecord
+	epoch    uint64
+	sequence uint64
+	answers  map[uint64]uint64 // Ends of appends by their sequence.
+	grown    chan struct{}
+}
+
+// NewKeyedStore returns an empty store; the seed chooses which answers are lost.
+func NewKeyedStore(seed uint64) *KeyedStore {
+	return &KeyedStore{random: rand.New(rand.NewPCG(seed, seed)), streams: map[string]*keyedStream{}}
+}
+
+// SetFaults replaces the failures.
+func (s *KeyedStore) SetFaults(f KeyedFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Cut cuts a caller off, or connects it again.
+func (s *KeyedStore) Cut(caller string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.CutCallers == nil {
+		s.faults.CutCallers = map[string]bool{}
+	}
+	s.faults.CutCallers[caller] = cut
+}
+
+// Forget drops the history of all streams; the newest record of each key stays.
+func (s *KeyedStore) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, st := range s.streams {
+		st.history = nil
+		st.first = st.end
+	}
+}
+
+// Put writes a record as somebody who is never cut off.
+func (s *KeyedStore) Put(stream string, records ...briarspring.KeyedRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stream(stream).add(records)
+}
+
+// For returns the store as a caller reaches it.
+func (s *KeyedStore) For(caller string) *KeyedClient { return &KeyedClient{store: s, caller: caller} }
+
+// KeyedClient is a caller's access to a KeyedStore.
+type KeyedClient struct {
+	store  *KeyedStore
+	caller string
+}
+
+func (s *KeyedStore) stream(name string) *keyedStream {
+	st := s.streams[name]
+	if st == nil {
+		st = &keyedStream{newest: map[string]briarspring.KeyedRecord{}, answers: map[uint64]uint64{}, grown: make(chan struct{})}
+		s.streams[name] = st
+	}
+	return st
+}
+
+func (st *keyedStream) add(records []briarspring.KeyedRecord) {
+	for _, r := range records {
+		r.Offset = st.end
+		st.end++
+		st.history = append(st.history, r)
+		if len(r.Value) == 0 {
+			delete(st.newest, r.Key)
+		} else {
+			st.newest[r.Key] = r
+		}
+	}
+	if len(records) > 0 {
+		close(st.grown)
+		st.grown = make(chan struct{})
+	}
+}
+
+// arrive waits for the store's latency, and fails as its faults say.
+func (c *KeyedClient) arrive(ctx context.Context, call string) error {
+	c.store.mu.Lock()
+	f := c.store.faults
+	cut := f.CutCallers[c.caller]
+	c.store.mu.Unlock()
+	if cut || f.Silent {
+		<-ctx.Done()
+		return &briarspring.DoubtError{Call: call, Cause: ctx.Err()}
+	}
+	if err := sleeper.For(ctx, f.Latency); err != nil {
+		return &briarspring.DoubtError{Call: call, Cause: err}
+	}
+	if f.Down {
+		return &briarspring.NotDoneError{Call: call, Reason: "the store is down"}
+	}
+	return nil
+}
+
+// Append adds records to a stream.
+func (c *KeyedClient) Append(ctx context.Context, stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (uint64, error) {
+	if err := c.arrive(ctx, "append"); err != nil {
+		return 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	lost := s.random.Float64() < s.faults.LoseShare
+	late := lost && s.random.Float64() < s.faults.LateShare
+	delay := time.Duration(1000+s.random.IntN(5000)) * time.Millisecond
+	s.mu.Unlock()
+	if late {
+		go func() {
+			time.Sleep(delay)
+			_, _ = s.append(stream, records, fence)
+		}()
+	}
+	var next uint64
+	var err error
+	if !late {
+		next, err = s.append(stream, records, fence)
+	}
+	if lost {
+		<-ctx.Done()
+		return 0, &briarspring.DoubtError{Call: "append", Cause: ctx.Err()}
+	}
+	return next, err
+}
+
+func (s *KeyedStore) append(stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(stream)
+	if fence.Epoch > 0 {
+		if next, known, err := st.checkFence(stream, fence); known || err != nil {
+			return next, err
+		}
+	}
+	st.add(records)
+	if fence.Epoch > 0 {
+		st.answers[fence.Sequence] = st.end
+	}
+	return st.end, nil
+}
+
+// checkFence takes the sequence of an append; known is true for a repeat.
+func (st *keyedStream) checkFence(stream string, f briarspring.Fence) (next uint64, known bool, err error) {
+	switch {
+	case f.Epoch < st.epoch:
+		return 0, false, &briarspring.FencedError{Stream: stream, Epoch: f.Epoch}
+	case f.Epoch > st.epoch:
+		st.epoch = f.Epoch
+		clear(st.answers)
+	case f.Sequence == st.sequence+1:
+	default:
+		if next, ok := st.answers[f.Sequence]; ok {
+			return next, true, nil
+		}
+		return 0, false, &briarspring.SequenceError{Stream: stream, Sent: f.Sequence, Expected: st.sequence + 1}
+	}
+	st.sequence = f.Sequence
+	return 0, false, nil
+}
+
+// Read returns the records from an offset on.
+func (c *KeyedClient) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (briarspring.KeyedPage, error) {
+	if err := c.arrive(ctx, "read"); err != nil {
+		return briarspring.KeyedPage{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, grown, err := c.store.read(stream, from)
+		if err != nil || len(page.Records) > 0 {
+			return page, err
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return briarspring.KeyedPage{}, &briarspring.DoubtError{Call: "read", Cause: ctx.Err()}
+		}
+	}
+}
+
+func (s *KeyedStore) read(stream string, from uint64) (briarspring.KeyedPage, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(stream)
+	if from < st.first {
+		return briarspring.KeyedPage{}, nil, &briarspring.TrimmedError{Stream: stream, First: st.first}
+	}
+	page := briarspring.KeyedPage{Next: max(from, st.end), End: st.end}
+	if from < st.end {
+		page.Records = slices.Clone(st.history[from-st.first:])
+	}
+	return page, st.grown, nil
+}
+
+// newestPage bounds the records of one answer.
+const newestPage = 500
+
+// Newest returns the newest record of every key after a key.
+func (c *KeyedClient) Newest(ctx context.Context, stream, after string) (briarspring.KeyedPage, bool, error) {
+	if err := c.arrive(ctx, "newest"); err != nil {
+		return briarspring.KeyedPage{}, false, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	st := c.store.stream(stream)
+	page := briarspring.KeyedPage{End: st.end}
+	for key, r := range st.newest {
+		if key > after {
+			page.Records = append(page.Records, r)
+		}
+	}
+	slices.SortFunc(page.Records, func(a, b briarspring.KeyedRecord) int { return cmp.Compare(a.Key, b.Key) })
+	more := len(page.Records) > newestPage
+	if more {
+		page.Records = page.Records[:newestPage]
+	}
+	return page, more, nil
+}
--- /dev/null
+++ b/imitator/pool.go
@@ -0,0 +1,424 @@
+package imitator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"briarspring"
+	"briarspring/sleeper"
+)
+
+// PoolConfig holds the settings of a Pool.
+type PoolConfig struct {
+	Seed    uint64
+	Latency time.Duration // Of a call.
+	// Plan tells how long a run works and how it ends. Lasting tasks get zero.
+	Plan func(briarspring.RunRef) (work time.Duration, end briarspring.RunEnd)
+	// Spec returns the step of a task, for the account of what must hold.
+	Spec func(briarspring.TaskRef) (*briarspring.Workflow, *briarspring.Step)
+}
+
+// Pool is a stand-in for workers that run tasks under leases. It keeps an
+// account of all runs and notes what must never happen.
+type Pool struct {
+	config PoolConfig
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	workers  map[string]*poolWorker
+	cut      map[[2]string]bool // Caller and worker.
+	loose    float64            // Share of orders without an answer that are carried out late.
+	broken   []string
+	done     map[briarspring.TaskRef]time.Time // When the end was acknowledged.
+	failures map[briarspring.TaskRef]int
+	starts   int
+}
+
+type poolWorker struct {
+	entry   briarspring.WorkerEntry
+	up      bool
+	began   time.Time
+	life    int
+	token   uint64
+	until   time.Duration
+	runs    map[briarspring.RunRef]*poolRun
+	ended   []briarspring.EndedTask
+	number  uint64
+	highest map[briarspring.TaskRef]uint32
+	changed chan struct{}
+}
+
+type poolRun struct {
+	checkpoint string
+	life       int
+}
+
+// NewPool returns a pool without workers.
+func NewPool(c PoolConfig) *Pool {
+	return &Pool{
+		config: c, random: rand.New(rand.NewPCG(c.Seed, c.Seed+1)), workers: map[string]*poolWorker{},
+		cut: map[[2]string]bool{}, done: map[briarspring.TaskRef]time.Time{}, failures: map[briarspring.TaskRef]int{},
+	}
+}
+
+// Add starts a worker; its address is its ID.
+func (p *Pool) Add(e briarspring.WorkerEntry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.Address = e.ID
+	w := &poolWorker{entry: e}
+	p.workers[e.ID] = w
+	p.begin(w)
+}
+
+func (p *Pool) begin(w *poolWorker) {
+	w.up = true
+	w.life++
+	w.began = time.Now()
+	w.entry.Born = w.began.UnixMilli()
+	w.token, w.until, w.number = 0, 0, 0
+	w.runs = map[briarspring.RunRef]*poolRun{}
+	w.highest = map[briarspring.TaskRef]uint32{}
+	w.ended = nil
+	w.changed = make(chan struct{})
+}
+
+// Crash ends a worker's life; everything that ran there is gone.
+func (p *Pool) Crash(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[id]
+	w.up = false
+	w.life++
+	w.runs = map[briarspring.RunRef]*poolRun{}
+	w.ended = nil
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// Restart begins a new life of a crashed worker.
+func (p *Pool) Restart(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.workers[id]; !w.up {
+		p.begin(w)
+	}
+}
+
+// Cut cuts the path of a caller to a worker, or mends it.
+func (p *Pool) Cut(caller, worker string, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[[2]string{caller, worker}] = cut
+}
+
+// LoseOrders makes a share of the orders go without an answer and be carried
+// out seconds later.
+func (p *Pool) LoseOrders(share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loose = share
+}
+
+// Entries returns the entries of the workers that are up.
+func (p *Pool) Entries() []briarspring.WorkerEntry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []briarspring.WorkerEntry
+	for _, w := range p.workers {
+		if w.up {
+			list = append(list, w.entry)
+		}
+	}
+	slices.SortFunc(list, func(a, b briarspring.WorkerEntry) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Broken returns what happened that must never happen.
+func (p *Pool) Broken() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.broken)
+}
+
+// Running returns the number of runs of a task that are alive.
+func (p *Pool) Running(t briarspring.TaskRef) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, w := range p.workers {
+		for ref := range w.runs {
+			if ref.Task == t {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// RunsOn reports whether a run of a task is alive on a worker.
+func (p *Pool) RunsOn(id string, t briarspring.TaskRef) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for ref := range p.workers[id].runs {
+		if ref.Task == t {
+			return true
+		}
+	}
+	return false
+}
+
+// Starts returns the number of runs that began.
+func (p *Pool) Starts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
+// For returns the workers as a caller reaches them.
+func (p *Pool) For(caller string) *PoolClient { return &PoolClient{pool: p, caller: caller} }
+
+// PoolClient is a caller's access to a Pool.
+type PoolClient struct {
+	pool   *Pool
+	caller string
+}
+
+func (w *poolWorker) clock() time.Duration { return time.Since(w.began) }
+
+// lapse ends everything when the lease is over.
+func (p *Pool) lapse(w *poolWorker) {
+	if w.up && len(w.runs) > 0 && w.until > 0 && w.clock() > w.until {
+		for ref := range w.runs {
+			p.end(w, ref, briarspring.RunLapsed, "")
+		}
+	}
+}
+
+func (p *Pool) end(w *poolWorker, ref briarspring.RunRef, how briarspring.RunEnd, checkpoint string) {
+	delete(w.runs, ref)
+	w.number++
+	w.highest[ref.Task] = max(w.highest[ref.Task], ref.Run)
+	w.ended = append(w.ended, briarspring.EndedTask{Number: w.number, Run: ref, End: how, Checkpoint: checkpoint})
+	if how == briarspring.RunFailed {
+		p.failures[ref.Task]++
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// reach waits for the way to a worker; the error is a doubt when it is cut.
+func (c *PoolClient) reach(ctx context.Context, id string) (*poolWorker, error) {
+	if err := sleeper.For(ctx, c.pool.config.Latency); err != nil {
+		return nil, &briarspring.DoubtError{Call: "order", Cause: err}
+	}
+	c.pool.mu.Lock()
+	w := c.pool.workers[id]
+	blocked := w == nil || !w.up || c.pool.cut[[2]string{c.caller, id}]
+	c.pool.mu.Unlock()
+	if blocked {
+		<-ctx.Done()
+		return nil, &briarspring.DoubtError{Call: "order", Cause: ctx.Err()}
+	}
+	return w, nil
+}
+
+// deliver carries an order out, now or seconds later without an answer.
+func (c *PoolClient) deliver(ctx context.Context, id string, order func(*poolWorker) error) error {
+	w, err := c.reach(ctx, id)
+	if err != nil {
+		return err
+	}
+	p := c.pool
+	p.mu.Lock()
+	late := p.random.Float64() < p.loose
+	delay := time.Duration(2000+p.random.IntN(10000)) * time.Millisecond
+	if !late {
+		defer p.mu.Unlock()
+		return order(w)
+	}
+	p.mu.Unlock()
+	go func() {
+		time.Sleep(delay)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if w.up {
+			_ = order(w)
+		}
+	}()
+	<-ctx.Done()
+	return &briarspring.DoubtError{Call: "order", Cause: ctx.Err()}
+}
+
+func refused(v briarspring.Verdict) error { return &briarspring.OrderRefusedError{Verdict: v} }
+
+// fenced takes a token; true when the order is of a replaced owner.
+func (w *poolWorker) fenced(token uint64) bool {
+	if token < w.token {
+		return true
+	}
+	w.token = token
+	return false
+}
+
+// Hold renews a lease.
+func (c *PoolClient) Hold(ctx context.Context, _, id string, h briarspring.HoldRequest) (briarspring.HoldReply, error) {
+	w, err := c.reach(ctx, id)
+	if err != nil {
+		return briarspring.HoldReply{}, err
+	}
+	p := c.pool
+	p.mu.Lock()
+	life := w.life
+	p.lapse(w)
+	if w.fenced(h.Token) {
+		p.mu.Unlock()
+		return briarspring.HoldReply{}, refused(briarspring.VerdictSuperseded)
+	}
+	w.until = max(w.until, h.Until)
+	p.acknowledge(w, h.EndsBefore)
+	waits := len(w.ended) == 0
+	changed := w.changed
+	p.mu.Unlock()
+	if waits && h.Wait > 0 {
+		timer := time.NewTimer(h.Wait)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			return briarspring.HoldReply{}, &briarspring.DoubtError{Call: "hold", Cause: ctx.Err()}
+		}
+	}
+	if _, err := c.reach(ctx, id); err != nil {
+		return briarspring.HoldReply{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w.life != life {
+		return briarspring.HoldReply{}, &briarspring.DoubtError{Call: "hold", Cause: &LostAnswerError{Part: id}}
+	}
+	p.lapse(w)
+	return w.list(), nil
+}
+
+// acknowledge forgets ends that are stored; those that are done must never run
+// again.
+func (p *Pool) acknowledge(w *poolWorker, number uint64) {
+	for len(w.ended) > 0 && w.ended[0].Number <= number {
+		if e := w.ended[0]; e.End == briarspring.RunDone {
+			p.done[e.Run.Task] = time.Now()
+		}
+		w.ended = w.ended[1:]
+	}
+}
+
+func (w *poolWorker) list() briarspring.HoldReply {
+	reply := briarspring.HoldReply{Born: w.entry.Born, Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	for ref, r := range w.runs {
+		reply.Running = append(reply.Running, briarspring.RunningTask{Run: ref, Checkpoint: r.checkpoint, Percent: 100})
+	}
+	return reply
+}
+
+// Start begins a run.
+func (c *PoolClient) Start(ctx context.Context, _, id string, o briarspring.StartOrder) error {
+	return c.deliver(ctx, id, func(w *poolWorker) error { return c.pool.start(w, o) })
+}
+
+func (p *Pool) start(w *poolWorker, o briarspring.StartOrder) error {
+	p.lapse(w)
+	switch {
+	case w.fenced(o.Token):
+		return refused(briarspring.VerdictSuperseded)
+	case w.clock() > o.Until:
+		return refused(briarspring.VerdictLate)
+	case w.runs[o.Run] != nil:
+		return nil
+	case o.Run.Run <= w.highest[o.Run.Task]:
+		return refused(briarspring.VerdictBarred)
+	}
+	w.until = max(w.until, o.Until)
+	p.check(w, o.Run)
+	p.starts++
+	r := &poolRun{checkpoint: o.Checkpoint, life: w.life}
+	w.runs[o.Run] = r
+	work, how := p.config.Plan(o.Run)
+	if work == 0 {
+		return nil
+	}
+	go func() {
+		time.Sleep(work)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.lapse(w)
+		if w.runs[o.Run] == r && w.up && w.life == r.life {
+			p.end(w, o.Run, how, "")
+		}
+	}()
+	return nil
+}
+
+// check notes what a start breaks.
+func (p *Pool) check(w *poolWorker, run briarspring.RunRef) {
+	note := func(format string, args ...any) {
+		p.broken = append(p.broken, fmt.Sprintf("%v on %s: ", run, w.entry.ID)+fmt.Sprintf(format, args...))
+	}
+	if at, ok := p.done[run.Task]; ok {
+		note("started again %s after its end was acknowledged", time.Since(at))
+	}
+	workflow, step := p.config.Spec(run.Task)
+	if step == nil {
+		note("nobody submitted it")
+		return
+	}
+	var used int64
+	for _, o := range p.workers {
+		p.lapse(o)
+		for other := range o.runs {
+			if other.Task == run.Task {
+				note("runs on %s as well", o.entry.ID)
+			}
+			if _, s := p.config.Spec(other.Task); o == w && s != nil && !s.Fills {
+				used += s.Resources.MilliCPU()
+			}
+		}
+	}
+	if !step.Fills && used+step.Resources.MilliCPU() > w.entry.Capacity.MilliCPU() {
+		note("%d thousandths of a core are in use of %s", used, w.entry.Capacity)
+	}
+	if !step.Lasting && workflow.MaxAttempts > 0 && p.failures[run.Task] >= workflow.MaxAttempts {
+		note("it has failed %d times", p.failures[run.Task])
+	}
+}
+
+// Stop ends a run, or keeps it from starting.
+func (c *PoolClient) Stop(ctx context.Context, _, id string, o briarspring.StopOrder) error {
+	return c.deliver(ctx, id, func(w *poolWorker) error {
+		p := c.pool
+		p.lapse(w)
+		if w.fenced(o.Token) {
+			return refused(briarspring.VerdictSuperseded)
+		}
+		w.highest[o.Run.Task] = max(w.highest[o.Run.Task], o.Run.Run)
+		if w.runs[o.Run] != nil {
+			p.end(w, o.Run, briarspring.RunStopped, "stopped")
+		}
+		return nil
+	})
+}
+
+// Pace does nothing but look at the token.
+func (c *PoolClient) Pace(ctx context.Context, _, id string, o briarspring.PaceOrder) error {
+	return c.deliver(ctx, id, func(w *poolWorker) error {
+		if w.fenced(o.Token) {
+			return refused(briarspring.VerdictSuperseded)
+		}
+		return nil
+	})
+}
--- a/stream.go
+++ b/stream.go
@@ -68,7 +68,7 @@
 	Position   int // Of the task, counting through all steps.
 	Done       bool
 	FailedRuns []uint32 // Each run counts once, however often its end is listed.
-	Run        uint32 // Highest number that was used.
+	Run        uint32   // Highest number that was used.
 	Checkpoint string
 	Worker     string // Of the run that is alive; empty for none.
 }
