--- a/appender/appender.go
+++ b/appender/appender.go
@@ -65,12 +65,16 @@
 	case a.queue <- w:
 	case <-ctx.Done():
 		return &briarspring.NotDoneError{Call: "append to " + a.config.Stream, Reason: "the queue is full"}
+	case <-a.done:
+		return &briarspring.NotDoneError{Call: "append to " + a.config.Stream, Reason: "the process stops"}
 	}
 	select {
 	case err := <-w.answer:
 		return err
 	case <-ctx.Done():
 		return &briarspring.DoubtError{Call: "append to " + a.config.Stream, Cause: ctx.Err()}
+	case <-a.done:
+		return &briarspring.DoubtError{Call: "append to " + a.config.Stream, Cause: context.Canceled}
 	}
 }
 
--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -1,6 +1,7 @@
 package assembler_test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -35,11 +36,11 @@
 	"submit": func(h *history) { h.submitRandom() },
 	"kill": func(h *history) {
 		host, down := h.randomHost(), h.upTo(5*time.Second)
-		h.duties.Go(func() { h.kill(host, down) })
+		h.replace(host, func() { h.kill(host, down) })
 	},
 	"stop": func(h *history) {
 		host := h.randomHost()
-		h.duties.Go(func() {
+		h.replace(host, func() {
 			host.cancel()
 			<-host.done
 			h.kill(host, 0)
@@ -93,7 +94,9 @@
 		}
 		h.cancelled[id] = true
 		host := h.randomHost()
-		known, err := host.intake.Cancel(h.t.Context(), id)
+		ctx, cancel := context.WithTimeout(h.t.Context(), 2500*time.Millisecond)
+		defer cancel()
+		known, err := host.intake.Cancel(ctx, id)
 		h.note("cancel %s at %s: %t %v", id, host.caller, known, err)
 	},
 }
@@ -104,6 +107,15 @@
 	"store-slow", "store-lossy", "store-forget", "late-orders", "crash-worker", "crash-worker", "out", "back", "cancel",
 }
 
+// replace begins to replace a host's process, unless that is going on already.
+func (h *history) replace(host *testHost, how func()) {
+	if host.leaving {
+		return
+	}
+	host.leaving = true
+	h.duties.Go(how)
+}
+
 func (h *history) note(format string, args ...any) {
 	h.log = append(h.log, fmt.Sprintf("%8.3f ", time.Since(h.began).Seconds())+fmt.Sprintf(format, args...))
 }
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -115,7 +115,7 @@
 	for _, name := range c.DataCentres {
 		l.Add("steward-"+name, steward.New(steward.Config{
 			Host: c.Host, HostCentre: c.DataCentre, DataCentre: name, DataCentres: c.DataCentres, Incarnation: incarnation, MilliCPU: c.MilliCPU,
-			Lease: min(usualLease, c.MaxLease),
+			Lease: min(usualLease, c.MaxLease), MaxLease: c.MaxLease,
 			Store: c.Store, Shared: shared, Workers: c.Workers, List: list, Catalogue: catalogue, Replica: replica,
 			Reading: reading, Listing: listing, NewPacer: func() dispatcher.Pacer { return pacer.New() }, Now: c.Now, Logger: logger,
 			Follow: func(on bool) {
--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -22,6 +24,8 @@
 	"briarspring/launcher"
 )
 
+var lines = flag.Bool("lines", false, "print the hosts' log lines")
+
 // fleet is a system in virtual time: hosts of some data centres, the platform's
 // stand-ins, and the workflows that were submitted.
 type fleet struct {
@@ -49,6 +53,8 @@
 	intake *admitter.Admitter
 	cancel context.CancelFunc
 	done   chan struct{}
+
+	leaving bool // Its process is being replaced.
 }
 
 // testDecoder reads the records that the tests write.
@@ -189,7 +195,7 @@
 	l, h.intake = assembler.NewCore(assembler.HostConfig{
 		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: 160, MaxLease: 6 * time.Second, StopTime: 3 * time.Second,
 		Store: f.store.For(h.caller), Workers: f.pool.For(h.caller), Decoder: testDecoder{},
-		Now: func() time.Duration { return time.Since(f.began) }, Logger: hclog.NewNullLogger(),
+		Now: func() time.Duration { return time.Since(f.began) }, Logger: f.logger(h),
 	})
 	f.hosts[name] = h
 	go func() {
@@ -199,6 +205,17 @@
 	return h
 }
 
+// logger writes a host's lines when the tests are run with -lines.
+func (f *fleet) logger(h *testHost) hclog.Logger {
+	if !*lines {
+		return hclog.NewNullLogger()
+	}
+	return hclog.New(&hclog.LoggerOptions{
+		Name: h.caller, Level: hclog.Debug, Output: os.Stdout,
+		TimeFn: func() time.Time { return time.Time{}.Add(time.Since(f.began)) }, TimeFormat: "04:05.000",
+	})
+}
+
 // cutOff cuts a host off from the store, the workers or both, or mends it.
 func (f *fleet) cutOff(h *testHost, store, workers, cut bool) {
 	if store {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 	DataCentre string
 	Token      uint64        // Of the claim; also the offset that follows it.
 	Lease      time.Duration // Of a worker, from a renewal on; every owner uses the same.
+	MaxLease   time.Duration // Longest lease that a worker grants.
 	Logger     hclog.Logger
 
 	// Predecessor tells that an earlier owner may have started runs that are
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if w.born != reply.Born {
-		d.beginLife(w, reply.Born)
+		d.beginLife(w, reply)
 	}
 	w.newLife = false
 	if !w.fenced {
@@ -105,15 +105,20 @@
 
 // beginLife forgets what was known of the worker's earlier life. Its runs are
 // kept until a list without them shows that they are gone.
-func (d *Dispatcher) beginLife(w *worker, born int64) {
-	if w.born != 0 {
-		d.logger.Warn("worker began a new life", "worker", w.id, "born", born, "before", w.born, "runs", len(w.runs))
+func (d *Dispatcher) beginLife(w *worker, reply briarspring.HoldReply) {
+	first := w.born == 0
+	if !first {
+		d.logger.Warn("worker began a new life", "worker", w.id, "born", reply.Born, "before", w.born, "runs", len(w.runs))
 	}
-	w.born = born
+	w.born = reply.Born
 	w.seen = 0
 	w.stored = 0
-	w.until = 0
 	w.streak = 0
+	// Renewals that were reckoned by the clock of the earlier life may have
+	// arrived in this one, whose clock began anew.
+	if !first {
+		w.until = reply.Clock + d.config.MaxLease
+	}
 }
 
 // ended takes in the end of a run.
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -191,6 +191,14 @@
 
 func (w *poolWorker) clock() time.Duration { return time.Since(w.began) }
 
+// maxLease is the longest lease that a worker grants.
+const maxLease = 6 * time.Second
+
+// renew lengthens the lease, as far as a worker grants it.
+func (w *poolWorker) renew(until time.Duration) {
+	w.until = max(w.until, min(until, w.clock()+maxLease))
+}
+
 // lapse ends everything when the lease is over.
 func (p *Pool) lapse(w *poolWorker) {
 	if w.up && len(w.runs) > 0 && w.until > 0 && w.clock() > w.until {
@@ -280,7 +288,7 @@
 		p.mu.Unlock()
 		return briarspring.HoldReply{}, refused(briarspring.VerdictSuperseded)
 	}
-	w.until = max(w.until, h.Until)
+	w.renew(h.Until)
 	p.acknowledge(w, h.EndsBefore)
 	waits := len(w.ended) == 0
 	changed := w.changed
@@ -343,7 +351,7 @@
 	case o.Run.Run <= w.highest[o.Run.Task]:
 		return refused(briarspring.VerdictBarred)
 	}
-	w.until = max(w.until, o.Until)
+	w.renew(o.Until)
 	p.check(w, o.Run)
 	p.starts++
 	r := &poolRun{checkpoint: o.Checkpoint, life: w.life}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -66,6 +66,7 @@
 	Incarnation int64
 	MilliCPU    int // Processors of the host, in thousandths of a core.
 	Lease       time.Duration
+	MaxLease    time.Duration // Longest lease that a worker grants.
 
 	Store     Store
 	Shared    Writer
--- a/steward/term.go
+++ b/steward/term.go
@@ -200,7 +200,7 @@
 	defer t.mu.Unlock()
 	now := t.config.Now()
 	t.engine = dispatcher.New(now, dispatcher.Config{
-		DataCentre: t.config.DataCentre, Token: t.claim.Token, Lease: t.config.Lease,
+		DataCentre: t.config.DataCentre, Token: t.claim.Token, Lease: t.config.Lease, MaxLease: t.config.MaxLease,
 		Predecessor: t.claim.Previous != 0, Pacer: t.config.NewPacer(), Logger: t.logger,
 	})
 	t.engine.SetOut(now, t.config.Catalogue.Out(t.config.DataCentre))
