--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -246,6 +246,7 @@
 	p.mu.Lock()
 	late := p.random.Float64() < p.loose
 	delay := time.Duration(2000+p.random.IntN(10000)) * time.Millisecond
+	life := w.life
 	if !late {
 		defer p.mu.Unlock()
 		return order(w)
@@ -255,7 +256,8 @@
 		time.Sleep(delay)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if w.up {
+		// What a worker has received is gone with its life.
+		if w.up && w.life == life {
 			_ = order(w)
 		}
 	}()
