--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -201,6 +201,20 @@
 	}
 }
 
+// regressions are seeds that failed once, with the cause.
+var regressions = map[uint64]string{
+	264:  "a worker that was reborn held a longer lease than its owner reckoned with",
+	2373: "a task came back to a data centre while its workflow's dropping was being stored",
+}
+
+func TestRegressions(t *testing.T) {
+	for seed, cause := range regressions {
+		t.Run(fmt.Sprintf("%d %s", seed, cause), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runHistory(t, seed) })
+		})
+	}
+}
+
 func runHistory(t *testing.T, seed uint64) {
 	h := &history{
 		fleet: newFleet(t, seed, tartu, viljandi), random: rand.New(rand.NewPCG(seed, 7)),
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -97,7 +97,15 @@
 		}
 	}
 	for _, id := range b.dropped {
-		delete(d.jobs, id)
+		j := d.jobs[id]
+		switch {
+		case j == nil:
+		case j.finished():
+			delete(d.jobs, id)
+		default:
+			// Tasks came back while the batch was on its way.
+			d.markDirty(j)
+		}
 	}
 }
 
--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,346 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"briarspring"
+	"briarspring/dispatcher"
+)
+
+// site is a dispatcher with workers that answer at once, in a time that the test
+// moves on.
+type site struct {
+	t       *testing.T
+	now     time.Duration
+	d       *dispatcher.Dispatcher
+	workers map[string]*fakeWorker
+}
+
+type fakeWorker struct {
+	entry   briarspring.WorkerEntry
+	born    int64
+	running map[briarspring.RunRef]briarspring.RunningTask
+	ended   []briarspring.EndedTask
+	number  uint64
+}
+
+func newSite(t *testing.T, c dispatcher.Config, workers int) *site {
+	c.DataCentre, c.Lease, c.MaxLease = "tartu", 5500*time.Millisecond, 6*time.Second
+	s := &site{t: t, now: time.Minute, workers: map[string]*fakeWorker{}}
+	s.d = dispatcher.New(s.now, c)
+	var entries []briarspring.WorkerEntry
+	for i := range workers {
+		e := briarspring.WorkerEntry{
+			ID: fmt.Sprintf("w%d", i), Address: "a", Service: "ledger", DataCentre: "tartu", Rack: "r1",
+			Capacity: briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: 8000, MemoryMiB: 32000}),
+		}
+		s.workers[e.ID] = &fakeWorker{entry: e, born: 1, running: map[briarspring.RunRef]briarspring.RunningTask{}}
+		entries = append(entries, e)
+	}
+	s.d.SetWorkers(s.now, entries)
+	s.holdAll()
+	return s
+}
+
+// holdAll renews every worker's lease and takes in what it says.
+func (s *site) holdAll() {
+	for i := range len(s.workers) {
+		s.hold(fmt.Sprintf("w%d", i))
+	}
+}
+
+func (s *site) hold(id string) {
+	h, ok := s.d.Hold(s.now, id, 0)
+	require.True(s.t, ok)
+	w := s.workers[id]
+	for len(w.ended) > 0 && w.ended[0].Number <= h.EndsBefore {
+		w.ended = w.ended[1:]
+	}
+	reply := briarspring.HoldReply{Born: w.born, Clock: s.now, Ended: w.ended}
+	for _, r := range w.running {
+		reply.Running = append(reply.Running, r)
+	}
+	s.d.Held(s.now, s.now, id, reply)
+}
+
+// plan lets the workers carry out the orders that are due and returns them.
+func (s *site) plan() []dispatcher.Order {
+	s.d.Tick()
+	orders := s.d.Plan(s.now)
+	for _, o := range orders {
+		w := s.workers[o.Worker]
+		switch o.Kind {
+		case dispatcher.OrderStart:
+			w.running[o.Start.Run] = briarspring.RunningTask{Run: o.Start.Run, Percent: 100}
+		case dispatcher.OrderStop:
+			if _, ok := w.running[o.Stop.Run]; ok {
+				s.end(o.Worker, o.Stop.Run, briarspring.RunStopped)
+			}
+		}
+		s.d.Answered(s.now, o, briarspring.VerdictDone)
+	}
+	return orders
+}
+
+func (s *site) end(worker string, run briarspring.RunRef, how briarspring.RunEnd) {
+	w := s.workers[worker]
+	delete(w.running, run)
+	w.number++
+	w.ended = append(w.ended, briarspring.EndedTask{Number: w.number, Run: run, End: how})
+}
+
+// store stores what is due, as if the log answered at once.
+func (s *site) store() {
+	if b, due := s.d.TakeBatch(); due {
+		s.d.Stored(b)
+	}
+}
+
+// starts returns the runs that orders start, by worker.
+func starts(orders []dispatcher.Order) map[string][]briarspring.RunRef {
+	list := map[string][]briarspring.RunRef{}
+	for _, o := range orders {
+		if o.Kind == dispatcher.OrderStart {
+			list[o.Worker] = append(list[o.Worker], o.Start.Run)
+		}
+	}
+	return list
+}
+
+func count(list map[string][]briarspring.RunRef) int {
+	n := 0
+	for _, runs := range list {
+		n += len(runs)
+	}
+	return n
+}
+
+func workflow(id briarspring.WorkflowID, steps ...briarspring.Step) *briarspring.Workflow {
+	return &briarspring.Workflow{
+		ID: id, Queue: "q", Service: "ledger", Steps: steps, MaxAttempts: 3, Stretch: 1.5, Allowance: 250 * time.Millisecond,
+		DataCentre: "tartu",
+	}
+}
+
+func step(tasks int, milliCPU int64) briarspring.Step {
+	return briarspring.Step{
+		Tasks: tasks, Estimate: 800 * time.Millisecond,
+		Resources: briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: milliCPU, MemoryMiB: 1000}),
+	}
+}
+
+func TestStarts(t *testing.T) {
+	t.Run("keep to a worker's capacity", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 2)
+		s.d.Submit(s.now, 0, workflow("a", step(7, 3000)), 5, nil)
+		list := starts(s.plan())
+		assert.Len(t, list["w0"], 2)
+		assert.Len(t, list["w1"], 2)
+	})
+	t.Run("keep to the tasks of a step on a worker", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 2)
+		spread := step(4, 1000)
+		spread.MaxPerWorker = 1
+		s.d.Submit(s.now, 0, workflow("a", spread), 5, nil)
+		assert.Equal(t, 2, count(starts(s.plan())))
+	})
+	t.Run("wait for the steps before", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		second := step(1, 1000)
+		second.After = []int{0}
+		s.d.Submit(s.now, 0, workflow("a", step(1, 1000), second), 5, nil)
+		run := starts(s.plan())["w0"][0]
+		assert.Equal(t, 0, run.Task.Step)
+		s.end("w0", run, briarspring.RunDone)
+		s.now += 100 * time.Millisecond
+		s.holdAll()
+		assert.Equal(t, 1, starts(s.plan())["w0"][0].Task.Step)
+	})
+	t.Run("of urgent work come before others", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		later := workflow("a", step(8, 1000))
+		later.Priority = 2
+		s.d.Submit(s.now, 0, later, 5, nil)
+		s.d.Submit(s.now, 0, workflow("b", step(4, 1000)), 6, nil)
+		first := starts(s.plan())["w0"]
+		require.Len(t, first, 8)
+		for _, run := range first[:4] {
+			assert.Equal(t, briarspring.WorkflowID("b"), run.Task.Workflow)
+		}
+	})
+	t.Run("do not happen while the data centre is out of service", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		s.d.SetOut(s.now, true)
+		s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil)
+		assert.Empty(t, s.plan())
+	})
+}
+
+func TestEnds(t *testing.T) {
+	t.Run("that fail count once, however often they are listed", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, []briarspring.TaskProgress{
+			{Position: 0, Run: 2, FailedRuns: []uint32{1, 2}},
+		})
+		task := briarspring.TaskRef{Workflow: "a"}
+		s.end("w0", briarspring.RunRef{Task: task, Run: 1}, briarspring.RunFailed)
+		s.end("w0", briarspring.RunRef{Task: task, Run: 2}, briarspring.RunFailed)
+		s.now += 100 * time.Millisecond
+		s.holdAll()
+		assert.Equal(t, 1, count(starts(s.plan())), "two of three runs have failed")
+	})
+	t.Run("are acknowledged when they are stored", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("a", step(2, 1000)), 5, nil)
+		s.end("w0", starts(s.plan())["w0"][0], briarspring.RunDone)
+		s.holdAll()
+		h, _ := s.d.Hold(s.now, "w0", 0)
+		assert.Zero(t, h.EndsBefore)
+		s.store()
+		h, _ = s.d.Hold(s.now, "w0", 0)
+		assert.Equal(t, uint64(1), h.EndsBefore)
+	})
+	t.Run("of a new life are not acknowledged by numbers of the old one", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("a", step(2, 1000)), 5, nil)
+		s.end("w0", starts(s.plan())["w0"][0], briarspring.RunDone)
+		s.holdAll()
+		s.store()
+		s.d.HoldLost(s.now, "w0", briarspring.VerdictUnanswered)
+		h, _ := s.d.Hold(s.now, "w0", 0)
+		assert.Zero(t, h.EndsBefore)
+	})
+}
+
+func TestLeases(t *testing.T) {
+	t.Run("of a silent worker run out", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 2)
+		spread := step(2, 1000)
+		spread.MaxPerWorker = 1
+		s.d.Submit(s.now, 0, workflow("a", spread), 5, nil)
+		require.Len(t, starts(s.plan()), 2)
+		for range 70 {
+			s.now += 100 * time.Millisecond
+			s.d.Hold(s.now, "w0", 0)
+			s.d.HoldLost(s.now, "w0", briarspring.VerdictUnanswered)
+			s.hold("w1")
+			s.d.Plan(s.now)
+		}
+		assert.Equal(t, uint64(1), s.d.Counters().Lost)
+	})
+	t.Run("of a reborn worker may be the longest", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil)
+		s.plan()
+		s.workers["w0"].born = 2
+		s.holdAll()
+		for range 59 {
+			s.now += 100 * time.Millisecond
+			s.d.HoldLost(s.now, "w0", briarspring.VerdictUnanswered)
+			s.d.Plan(s.now)
+		}
+		assert.Zero(t, s.d.Counters().Lost)
+	})
+}
+
+func TestTakeover(t *testing.T) {
+	inherited := func(t *testing.T) *site {
+		s := newSite(t, dispatcher.Config{Token: 100, Predecessor: true}, 0)
+		s.workers["w0"] = &fakeWorker{born: 1, running: map[briarspring.RunRef]briarspring.RunningTask{}}
+		s.workers["w1"] = &fakeWorker{born: 1, running: map[briarspring.RunRef]briarspring.RunningTask{}}
+		return s
+	}
+	entries := func() []briarspring.WorkerEntry {
+		var list []briarspring.WorkerEntry
+		for _, id := range []string{"w0", "w1"} {
+			list = append(list, briarspring.WorkerEntry{
+				ID: id, Address: "a", Service: "ledger", DataCentre: "tartu",
+				Capacity: briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: 8000, MemoryMiB: 32000}),
+			})
+		}
+		return list
+	}
+	// newSite listed no workers, so the site begins before its first list.
+	begin := func(t *testing.T) *site {
+		s := inherited(t)
+		s.d = dispatcher.New(s.now, dispatcher.Config{
+			DataCentre: "tartu", Token: 100, Predecessor: true, Lease: 5500 * time.Millisecond, MaxLease: 6 * time.Second,
+		})
+		s.d.Submit(s.now, 0, workflow("old", step(1, 1000)), 5, nil)
+		s.d.SetWorkers(s.now, entries())
+		return s
+	}
+	t.Run("waits until every worker holds to the new owner", func(t *testing.T) {
+		s := begin(t)
+		s.hold("w0")
+		assert.Empty(t, starts(s.plan()))
+		s.hold("w1")
+		assert.Equal(t, 1, count(starts(s.plan())))
+	})
+	t.Run("starts what was submitted after the claim at once", func(t *testing.T) {
+		s := begin(t)
+		s.hold("w0")
+		s.d.Submit(s.now, 0, workflow("new", step(1, 1000)), 120, nil)
+		assert.Equal(t, briarspring.WorkflowID("new"), starts(s.plan())["w0"][0].Task.Workflow)
+	})
+	t.Run("takes what runs as the truth", func(t *testing.T) {
+		s := begin(t)
+		run := briarspring.RunRef{Task: briarspring.TaskRef{Workflow: "old"}, Run: 7}
+		s.workers["w1"].running[run] = briarspring.RunningTask{Run: run, Percent: 100}
+		s.holdAll()
+		assert.Empty(t, starts(s.plan()))
+	})
+	t.Run("waits for leases that the earlier owner gave", func(t *testing.T) {
+		s := begin(t)
+		s.hold("w0")
+		s.d.EarlierGone(s.now)
+		s.now += 5 * time.Second
+		s.hold("w0")
+		assert.Empty(t, starts(s.plan()))
+		s.now += time.Second
+		s.hold("w0")
+		assert.Equal(t, 1, count(starts(s.plan())))
+	})
+	t.Run("knows from the earlier owner which leases have ended", func(t *testing.T) {
+		s := begin(t)
+		s.hold("w0")
+		s.d.EarlierSilent(map[string]time.Duration{"w1": s.now - 1})
+		assert.Equal(t, 1, count(starts(s.plan())))
+	})
+}
+
+func TestTransfers(t *testing.T) {
+	elsewhere := func(*briarspring.Step) string { return "viljandi" }
+	lasting := step(2, 1000)
+	lasting.Lasting = true
+	t.Run("of single tasks of a lasting workflow", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("a", lasting), 5, nil)
+		run := starts(s.plan())["w0"][0]
+		s.d.SetOut(s.now, true)
+		s.end("w0", run, briarspring.RunFailed)
+		s.holdAll()
+		list := s.d.TakeTransfers(s.now, elsewhere)
+		require.Len(t, list, 1)
+		require.Len(t, list[0].Content.Tasks, 1)
+		assert.Equal(t, run.Task.Index, list[0].Content.Tasks[0].Position)
+	})
+	// The batch that drops a workflow may be on its way when a task comes back.
+	t.Run("and back before the dropping is stored", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("a", lasting), 5, nil)
+		s.d.Keep(s.now, "a", func(int) bool { return false }, nil)
+		batch, due := s.d.TakeBatch()
+		require.True(t, due)
+		s.d.Keep(s.now, "a", func(int) bool { return true }, map[int]briarspring.TaskProgress{0: {Position: 0, Run: 4}})
+		s.d.Stored(batch)
+		list := starts(s.plan())["w0"]
+		require.Len(t, list, 2)
+		assert.Equal(t, uint32(5), list[0].Run)
+	})
+}
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -274,6 +274,7 @@
 		}
 		w := d.bestFilling(t)
 		if w == nil {
+			d.explainWaiting(t)
 			return
 		}
 		if d.expectedTail(t, w) > 0 {
@@ -314,6 +315,26 @@
 	return best
 }
 
+// explainWaiting logs why no worker takes a task that fills.
+func (d *Dispatcher) explainWaiting(t *task) {
+	if !d.logger.IsDebug() {
+		return
+	}
+	unfit, busy, pressed := 0, 0, 0
+	for _, w := range d.order {
+		switch {
+		case !d.fits(t, w):
+			unfit++
+		case w.idle() < float64(t.step.spec().Resources.MilliCPU())*fillLimit:
+			busy++
+		default:
+			pressed++
+		}
+	}
+	d.logger.Debug("task waits", "workflow", t.step.job.workflow.ID, "step", t.step.number, "index", t.index,
+		"waited-ms", (d.now - t.readySince).Milliseconds(), "image", t.step.spec().Image, "unfit", unfit, "busy", busy, "pressed", pressed)
+}
+
 const (
 	// tailLimit is the expected tail, as a share of its target, up to which a
 	// task may start beside tasks that it presses.
