--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -138,7 +138,9 @@
 	w.Queue, w.Service, w.Priority = q.Name, q.Service, q.Priority
 	w.MaxAttempts, w.Stretch, w.Allowance = q.MaxAttempts, q.Stretch, q.Allowance
 	w.Submitted = time.Now()
-	w.DataCentre = a.choose()
+	if len(w.Steps) > 0 {
+		w.DataCentre = a.choose(w)
+	}
 	if err := a.admit(q, w); err != nil {
 		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "error", err)
 		return err
@@ -157,12 +159,12 @@
 }
 
 // choose picks the data centre for a new workflow.
-func (a *Admitter) choose() string {
+func (a *Admitter) choose(w *briarspring.Workflow) string {
 	var options []balancer.Option
 	a.config.Replica.View(func(r *registrar.Registry) {
 		options = balancer.Options(a.config.Now(), a.config.DataCentres, r, a.config.Catalogue)
 	})
-	return balancer.Choose(a.config.DataCentre, options)
+	return balancer.Choose(a.config.DataCentre, w, options)
 }
 
 func (a *Admitter) known(id briarspring.WorkflowID) bool {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -34,7 +34,11 @@
 // Pacer decides how fast the tasks that fill may work on a worker.
 type Pacer interface {
 	Decide(now time.Duration, worker string, serving []Serving, filling []Filling) []Pace
-	Expected(image string, cores float64, serving []Serving) float64
+	// Share returns the share of full speed at which one more task of an image
+	// could work on a worker.
+	Share(worker, image string, cores float64, serving []Serving, filling []Filling) float64
+	// Burden returns the share of all images that press tasks that serve.
+	Burden(serving []Serving) float64
 }
 
 // Serving is a lasting task with a target, as it was last measured.
@@ -46,11 +50,12 @@
 
 // Filling is a task that fills.
 type Filling struct {
-	Run     briarspring.RunRef
-	Image   string
-	Cores   float64 // Declared.
-	Used    float64 // Cores in use at the last reading.
-	Percent int     // Of full speed at present.
+	Run      briarspring.RunRef
+	Image    string
+	Cores    float64 // Declared.
+	Used     float64 // Cores in use at the last reading.
+	Percent  int     // Of full speed at present.
+	Progress int     // In percent of its work.
 }
 
 // Pace is a decision on the speed of a run.
@@ -77,14 +82,15 @@
 	holdStarts   time.Duration            // No workflow of the predecessor's time starts before.
 	barrierNoted bool
 
-	orders    []Order
-	dirty     map[briarspring.WorkflowID]*job
-	shared    []briarspring.KeyedRecord
-	changed   bool
-	averages  averages
-	now       time.Duration
-	counters  Counters
-	transfers int // Number of the last transfer.
+	orders     []Order
+	dirty      map[briarspring.WorkflowID]*job
+	shared     []briarspring.KeyedRecord
+	changed    bool
+	averages   averages
+	now        time.Duration
+	counters   Counters
+	transfers  int             // Number of the last transfer.
+	imagesSeen map[string]bool // Of tasks that fill.
 }
 
 // Counters counts what a dispatcher did, for metrics.
@@ -105,14 +111,15 @@
 		c.Logger = hclog.NewNullLogger()
 	}
 	return &Dispatcher{
-		config:    c,
-		logger:    c.Logger,
-		workers:   map[string]*worker{},
-		jobs:      map[briarspring.WorkflowID]*job{},
-		dirty:     map[briarspring.WorkflowID]*job{},
-		startedAt: now,
-		now:       now,
-		averages:  averages{},
+		config:     c,
+		logger:     c.Logger,
+		workers:    map[string]*worker{},
+		jobs:       map[briarspring.WorkflowID]*job{},
+		dirty:      map[briarspring.WorkflowID]*job{},
+		startedAt:  now,
+		now:        now,
+		averages:   averages{},
+		imagesSeen: map[string]bool{},
 	}
 }
 
@@ -179,22 +186,3 @@
 		return o.Pace.Run
 	}
 }
-
-// Load returns the declared work that waits and the state of the processors.
-func (d *Dispatcher) Load() briarspring.OwnerBeat {
-	b := briarspring.OwnerBeat{Token: d.config.Token, Accepts: !d.out}
-	for _, w := range d.order {
-		if !w.usable(d.now) {
-			continue
-		}
-		b.Total += w.entry.Capacity.MilliCPU()
-		b.Free += w.free().MilliCPU()
-		b.Largest = max(b.Largest, w.free().MilliCPU())
-	}
-	for _, j := range d.jobs {
-		if !j.over() && !j.workflow.Lasting() {
-			b.Backlog += j.work()
-		}
-	}
-	return b
-}
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"time"
 
 	"briarspring"
@@ -43,6 +44,9 @@
 	r.settledAt = d.now
 	if v == briarspring.VerdictDone {
 		r.state = runAlive
+		if r.pace != r.paceSent {
+			d.sendPace(r)
+		}
 		return
 	}
 	d.logger.Warn("start not carried out", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
@@ -65,8 +69,14 @@
 	d.settle(r.task.step.job)
 }
 
+// startAt orders a run that works at a share of full speed from the start.
+func (d *Dispatcher) startAt(t *task, w *worker, share float64) {
+	r := d.start(t, w)
+	d.setPace(r, int(math.Round(fullSpeed*share)))
+}
+
 // start orders a run of a task on a worker.
-func (d *Dispatcher) start(t *task, w *worker) {
+func (d *Dispatcher) start(t *task, w *worker) *run {
 	r := &run{
 		ref:  briarspring.RunRef{Task: t.ref(), Run: t.lastRun + 1},
 		task: t, worker: w, state: runOrdered, since: d.now,
@@ -90,4 +100,5 @@
 			Run: r.ref, Specification: j.workflow.Specification, Until: r.until, Token: d.config.Token, Checkpoint: t.checkpoint,
 		},
 	})
+	return r
 }
--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -39,19 +39,20 @@
 }
 
 const (
-	// slowPercent is the pace from which a task is better off elsewhere.
+	// slowPercent is the pace from which a task had better wait for another
+	// worker: it holds memory that others could use.
 	slowPercent = 20
-	// slowTime at that pace before a task with checkpoints is moved; a restart
+	// slowTime at that pace before a task with checkpoints gives way; a restart
 	// costs 0.25 to 0.6 s.
 	slowTime = 900 * time.Millisecond
 	// slowTimeUnsaved is the same for a task that loses its work.
 	slowTimeUnsaved = 2500 * time.Millisecond
-	// unsavedPercent of progress up to which a task without checkpoints is moved.
+	// unsavedPercent of progress up to which a task without checkpoints gives way.
 	unsavedPercent = 30
 )
 
-// moveSlowed stops tasks that hardly get on when another worker would let them
-// work.
+// moveSlowed stops tasks that hardly get on, so that they start again where they
+// press nothing.
 func (d *Dispatcher) moveSlowed(w *worker) {
 	for _, r := range w.runs {
 		spec := r.task.step.spec()
@@ -62,10 +63,7 @@
 		if spec.Checkpoints && slowed < slowTime || !spec.Checkpoints && (slowed < slowTimeUnsaved || r.percent > unsavedPercent) {
 			continue
 		}
-		if other := d.bestFilling(r.task); other == nil || other == w {
-			continue
-		}
-		d.stop(r, "moves to a worker that it does not press")
+		d.stop(r, "gives way to tasks that press less")
 	}
 }
 
@@ -125,7 +123,7 @@
 			continue
 		}
 		list = append(list, Filling{
-			Run: r.ref, Image: spec.Image, Cores: float64(spec.Resources.MilliCPU()) / briarspring.MilliCPUPerCore, Used: r.usage / briarspring.MilliCPUPerCore, Percent: r.pace,
+			Run: r.ref, Image: spec.Image, Cores: float64(spec.Resources.MilliCPU()) / briarspring.MilliCPUPerCore, Used: r.usage / briarspring.MilliCPUPerCore, Percent: r.pace, Progress: r.percent,
 		})
 	}
 	slices.SortFunc(list, func(a, b Filling) int {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -272,49 +272,15 @@
 		if !t.pending() || d.exhausted(t) {
 			continue
 		}
-		w := d.bestFilling(t)
+		w, share := d.bestFilling(t)
 		if w == nil {
 			d.explainWaiting(t)
 			return
 		}
-		if d.expectedTail(t, w) > 0 {
-			w.pressedAt = d.now
-		}
-		d.start(t, w)
+		d.startAt(t, w, share)
 	}
 }
 
-// idle returns the processors that are expected to be unused on a worker, in
-// thousandths of a core.
-func (w *worker) idle() float64 {
-	reserved := w.reserved.MilliCPU()
-	used := float64(reserved-w.serving) + servingShare*float64(w.serving)
-	return float64(w.entry.Capacity.MilliCPU()) - used - float64(w.filling)
-}
-
-// bestFilling returns the worker for a task that fills, or nil while none has
-// enough idle processors.
-func (d *Dispatcher) bestFilling(t *task) *worker {
-	spec := t.step.spec()
-	need := float64(spec.Resources.MilliCPU())
-	var best *worker
-	var bestCost float64
-	for _, w := range d.order {
-		if !d.fits(t, w) || w.idle() < need*fillLimit {
-			continue
-		}
-		expected := d.expectedTail(t, w)
-		if expected > tailLimit || expected > 0 && d.now-w.pressedAt < pressInterval {
-			continue
-		}
-		cost := d.fillingCost(t, w) + expected
-		if best == nil || cost < bestCost {
-			best, bestCost = w, cost
-		}
-	}
-	return best
-}
-
 // explainWaiting logs why no worker takes a task that fills.
 func (d *Dispatcher) explainWaiting(t *task) {
 	if !d.logger.IsDebug() {
@@ -335,57 +301,74 @@
 		"waited-ms", (d.now - t.readySince).Milliseconds(), "image", t.step.spec().Image, "unfit", unfit, "busy", busy, "pressed", pressed)
 }
 
+// idle returns the processors that are expected to be unused on a worker, in
+// thousandths of a core.
+func (w *worker) idle() float64 {
+	reserved := w.reserved.MilliCPU()
+	used := float64(reserved-w.serving) + servingShare*float64(w.serving)
+	return float64(w.entry.Capacity.MilliCPU()) - used - float64(w.filling)
+}
+
 const (
-	// tailLimit is the expected tail, as a share of its target, up to which a
-	// task may start beside tasks that it presses.
-	tailLimit = 0.8
-	// pressInterval between two starts of tasks that press others on a worker;
-	// tails show the effect of the first one by then.
-	pressInterval = 700 * time.Millisecond
+	// leastShare of full speed at which a task that fills is worth starting; it
+	// holds the rate of its workflow back below.
+	leastShare = 0.35
+	// slowCost of a worker on which a task works at no speed, against one whose
+	// processors are all in use.
+	slowCost = 1.5
+	// burdenGain of a worker on which every image presses something, for tasks
+	// that press nothing there: they leave the others to those that do elsewhere.
+	burdenGain = 0.8
 )
 
-// expectedTail returns the worst tail that a task that fills would cause on a
-// worker, as a share of its target; zero when it presses nothing there.
-func (d *Dispatcher) expectedTail(t *task, w *worker) float64 {
+// bestFilling returns the worker for a task that fills and the share of full
+// speed at which it may work; nil while none has enough idle processors that it
+// may use.
+func (d *Dispatcher) bestFilling(t *task) (*worker, float64) {
+	spec := t.step.spec()
+	need := float64(spec.Resources.MilliCPU())
+	var best *worker
+	var bestCost, bestShare float64
+	for _, w := range d.order {
+		if !d.fits(t, w) || w.idle() < need*fillLimit {
+			continue
+		}
+		share, burden := d.shareOn(t, w)
+		if share < leastShare {
+			continue
+		}
+		cost := d.fillingCost(t, w) + slowCost*(1-share)
+		if share == 1 {
+			cost -= burdenGain * burden
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost, bestShare = w, cost, share
+		}
+	}
+	return best, bestShare
+}
+
+// shareOn returns the share of full speed at which a task that fills could work
+// on a worker, and the share of all images that press something there.
+func (d *Dispatcher) shareOn(t *task, w *worker) (share, burden float64) {
 	if d.config.Pacer == nil {
-		return 0
+		return 1, 0
 	}
 	spec := t.step.spec()
 	cores := float64(spec.Resources.MilliCPU()) / briarspring.MilliCPUPerCore
-	return d.config.Pacer.Expected(spec.Image, cores, w.servingTasks(d.now))
+	serving := w.servingTasks(d.now)
+	return d.config.Pacer.Share(w.id, spec.Image, cores, serving, w.fillingTasks()), d.config.Pacer.Burden(serving)
 }
 
 // fillingCost grows with the share of idle processors that is used.
 func (d *Dispatcher) fillingCost(t *task, w *worker) float64 {
 	spec := t.step.spec()
-	capacity := float64(max(1, w.entry.Capacity.MilliCPU()))
-	cost := 1 - w.idle()/capacity
+	cost := 1 - w.idle()/float64(max(1, w.entry.Capacity.MilliCPU()))
 	if t.avoid == w {
 		cost += avoidCost
 	}
 	if spec.Rack != "" && spec.Rack != w.entry.Rack {
-		cost += 1
+		cost++
 	}
 	return cost
 }
-
-// Unplaceable returns why no worker of the list can ever run a task of the
-// step, or "".
-func (d *Dispatcher) Unplaceable(w *briarspring.Workflow) string {
-	for _, s := range w.Steps {
-		if !d.placeable(w, &s) {
-			return "no worker is large enough for " + s.Resources.String()
-		}
-	}
-	return ""
-}
-
-func (d *Dispatcher) placeable(w *briarspring.Workflow, s *briarspring.Step) bool {
-	for _, o := range d.order {
-		if o.listed && o.entry.Service == w.Service && reservation(s).Fits(o.entry.Capacity) &&
-			(s.Requirement == "" || slices.Contains(o.entry.Labels, s.Requirement)) {
-			return true
-		}
-	}
-	return false
-}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -60,7 +60,6 @@
 	pausedUntil time.Duration
 	slow        float64 // Learned factor of run times, one is normal.
 	paceAt      time.Duration
-	pressedAt   time.Duration // When a task was started that presses tasks here.
 }
 
 // worker returns the worker of an ID and makes it when there is none.
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -1,6 +1,8 @@
 package encoder
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -123,10 +125,14 @@
 
 // OwnerBeat returns the bytes of an owner's sign of life.
 func OwnerBeat(b briarspring.OwnerBeat) ([]byte, error) {
-	return proto.Marshal(&pb.OwnerBeat{
+	m := &pb.OwnerBeat{
 		Token: b.Token, BacklogMilliCpuSeconds: b.Backlog, FreeMilliCpu: b.Free, TotalMilliCpu: b.Total, Accepts: b.Accepts,
 		LargestMilliCpu: b.Largest,
-	})
+	}
+	for _, image := range slices.Sorted(maps.Keys(b.Rooms)) {
+		m.Rooms = append(m.Rooms, &pb.ImageRoom{Image: image, MilliCpu: b.Rooms[image]})
+	}
+	return proto.Marshal(m)
 }
 
 // DecodeOwnerBeat returns an owner's sign of life, or a *MalformedError.
@@ -135,10 +141,14 @@
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return briarspring.OwnerBeat{}, &MalformedError{What: "beat", Cause: err}
 	}
-	return briarspring.OwnerBeat{
+	b := briarspring.OwnerBeat{
 		Token: m.Token, Backlog: m.BacklogMilliCpuSeconds, Free: m.FreeMilliCpu, Total: m.TotalMilliCpu, Accepts: m.Accepts,
-		Largest: m.LargestMilliCpu,
-	}, nil
+		Largest: m.LargestMilliCpu, Rooms: map[string]int64{},
+	}
+	for _, r := range m.Rooms {
+		b.Rooms[r.Image] = r.MilliCpu
+	}
+	return b, nil
 }
 
 // HostPresence returns the bytes of a process's presence.
--- a/stream.go
+++ b/stream.go
@@ -49,11 +49,12 @@
 // OwnerBeat is an owner's sign of life, with its load.
 type OwnerBeat struct {
 	Token   uint64
-	Backlog int64 // Declared work that waits, in thousandths of a core times seconds.
-	Free    int64 // Thousandths of a core that are not reserved.
-	Largest int64 // The same of the worker with most of them.
-	Total   int64 // Thousandths of a core of all usable workers.
-	Accepts bool  // False while the data centre is out of service.
+	Backlog int64            // Declared work that waits, in thousandths of a core times seconds.
+	Free    int64            // Thousandths of a core that are not reserved.
+	Largest int64            // The same of the worker with most of them.
+	Total   int64            // Thousandths of a core of all usable workers.
+	Accepts bool             // False while the data centre is out of service.
+	Rooms   map[string]int64 // By image: idle thousandths of a core that its tasks could use, less what waits for them.
 }
 
 // HostPresence is one life of a host's process.
