--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -21,7 +21,7 @@
 	silentOwner = 3 * time.Second
 	// lastingLimit is the share of a data centre's processors that lasting tasks
 	// may reserve before others are preferred: urgent ones need the rest.
-	lastingLimit = 0.86
+	lastingLimit = 0.82
 	// homeRoom in thousandths of a core favours the data centre that took a
 	// workflow over others with as much room for its image.
 	homeRoom = 20000
@@ -81,7 +81,8 @@
 
 // Choose returns the data centre for a new workflow; empty when all are out of
 // service. Lasting ones of an image go to the same data centre, work that fills
-// goes where its image presses nothing, and the rest stays at home.
+// goes where its image presses nothing, and the rest stays at home while there
+// is room.
 func Choose(home string, w *briarspring.Workflow, options []Option) string {
 	spec := &w.Steps[0]
 	switch {
@@ -93,10 +94,34 @@
 		if to := chooseFilling(home, spec, options); to != "" {
 			return to
 		}
+	case !spec.Lasting && !spec.Fills:
+		if to := chooseReserved(home, spec, options); to != "" {
+			return to
+		}
 	}
 	return chooseLeast(home, options)
 }
 
+// chooseReserved returns the home data centre while it has room for the first
+// step, and else the one with most free processors; empty when none has enough.
+// It answers urgent work that meets a data centre full of lasting tasks.
+func chooseReserved(home string, s *briarspring.Step, options []Option) string {
+	need := int64(s.Tasks) * s.Resources.MilliCPU()
+	best, bestFree := "", int64(0)
+	for _, o := range options {
+		if !o.serves() || o.Largest < s.Resources.MilliCPU() || o.Free < need {
+			continue
+		}
+		if o.DataCentre == home && o.Free >= roomFactor*need {
+			return home
+		}
+		if best == "" || o.Free > bestFree {
+			best, bestFree = o.DataCentre, o.Free
+		}
+	}
+	return best
+}
+
 // chooseLeast returns the data centre with the least backlog, the home one
 // before others that are not much better. It answers bursts that meet one data
 // centre harder than the others, and data centres that are out of service or
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -87,6 +87,7 @@
 	shared     []briarspring.KeyedRecord
 	changed    bool
 	averages   averages
+	meanSize   map[string]float64 // Mean work of a workflow by queue.
 	now        time.Duration
 	counters   Counters
 	transfers  int             // Number of the last transfer.
@@ -118,6 +119,7 @@
 		dirty:      map[briarspring.WorkflowID]*job{},
 		startedAt:  now,
 		now:        now,
+		meanSize:   map[string]float64{},
 		averages:   averages{},
 		imagesSeen: map[string]bool{},
 	}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -20,6 +20,7 @@
 	recorded  bool              // The final phase is in the log.
 	dropped   bool              // The progress record was dropped.
 	hasRecord bool              // A progress record exists or is on its way.
+	size      float64           // Declared work of all tasks, in thousandths of a core times seconds.
 	away      bool              // All tasks were transferred to other data centres.
 }
 
@@ -154,6 +155,12 @@
 		return
 	}
 	j := newJob(now, age, w, offset)
+	j.size = float64(j.work())
+	if mean, ok := d.meanSize[w.Queue]; ok {
+		d.meanSize[w.Queue] = mean + meanRate*(j.size-mean)
+	} else {
+		d.meanSize[w.Queue] = j.size
+	}
 	d.jobs[w.ID] = j
 	d.changed = true
 	for _, p := range progress {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -14,7 +14,7 @@
 	planInterval = 100 * time.Millisecond
 	// servingShare of its reservation is what a lasting task is expected to
 	// use; the platform's day files state 0.42 with a swing of a half.
-	servingShare = 0.55
+	servingShare = 0.45
 	// fillLimit is how far declared processors of tasks that fill may exceed
 	// what is expected to be idle.
 	fillLimit = 1.0
@@ -73,6 +73,7 @@
 type candidate struct {
 	step  *step
 	slack time.Duration // To the objective, after the work that is expected.
+	price float64       // Work that is left for each unit of what finishing it is worth.
 }
 
 // assign starts waiting tasks on workers.
@@ -91,6 +92,7 @@
 				continue
 			}
 			c := candidate{step: s, slack: j.submitted + j.workflow.Objective() - d.now - d.expected(j, s.number)}
+			c.price = d.price(j, c.slack)
 			if s.spec().Fills {
 				filling = append(filling, c)
 			} else {
@@ -120,18 +122,51 @@
 	)
 }
 
-// compareFilling orders steps that fill: jobs that have started finish before
-// new ones share the processors with them.
+// compareFilling orders steps that fill: by priority, then by the work that
+// brings most. Workflows that are nearly done come before those that have just
+// begun, and what is late comes after what is not.
 func compareFilling(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.step.job.workflow.Priority, b.step.job.workflow.Priority),
-		cmp.Compare(late(a), late(b)),
-		cmp.Compare(a.slack, b.slack),
+		cmp.Compare(a.price, b.price),
 		cmp.Compare(a.step.job.workflow.ID, b.step.job.workflow.ID),
 		cmp.Compare(a.step.number, b.step.number),
 	)
 }
 
+const (
+	// baseWorth and workWorth make up what a workflow is worth: a part that all
+	// have, and a part in proportion to its work against the mean of its queue, as
+	// the platform states it.
+	baseWorth = 0.3
+	workWorth = 0.7
+	// lateWorth is what a workflow is worth that misses its objective, and
+	// hopelessWorth what it is worth after three times the objective.
+	lateWorth     = 0.15
+	hopelessWorth = 0.01
+	// lateLimit of the objective, after which finishing brings nothing.
+	lateLimit = 3
+	// meanRate is the share of a difference by which one workflow moves the mean
+	// work of its queue.
+	meanRate = 0.05
+)
+
+// price returns the work that is left for each unit of worth. It answers bursts
+// that can't all be served in time: the processors go to what earns most with
+// them, and started workflows finish before new ones dilute them.
+func (d *Dispatcher) price(j *job, slack time.Duration) float64 {
+	left := float64(j.work())
+	worth := baseWorth + workWorth*j.size/max(1, d.meanSize[j.workflow.Queue])
+	objective := j.workflow.Objective()
+	switch {
+	case slack+(lateLimit-1)*objective < 0:
+		worth *= hopelessWorth
+	case slack < 0:
+		worth *= lateWorth
+	}
+	return left / worth
+}
+
 func late(c candidate) int {
 	if c.slack < 0 && !c.step.spec().Lasting {
 		return 1
@@ -312,7 +347,7 @@
 const (
 	// leastShare of full speed at which a task that fills is worth starting; it
 	// holds the rate of its workflow back below.
-	leastShare = 0.35
+	leastShare = 0.45
 	// slowCost of a worker on which a task works at no speed, against one whose
 	// processors are all in use.
 	slowCost = 1.5
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -30,7 +30,7 @@
 	pressingRise = 0.06
 	// usualPeak is the ratio of the present pressure to the average one that is
 	// reckoned with at first: amounts drift.
-	usualPeak = 2.5
+	usualPeak = 2.0
 	// leastGain and mostGain bound the factor by which readings change the room.
 	leastGain = 0.1
 	mostGain  = 3.0
