--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -13,8 +13,10 @@
 
 const (
 	// localSilence of an owner lets hosts of its data centre claim. A beat is due
-	// every 0.4 s and takes up to 1.2 s through a store that is 75 times slower.
+	// every 0.4 s; what a slow log adds is counted apart.
 	localSilence = 1800 * time.Millisecond
+	// beatCalls is how many calls to the log a beat may be late for.
+	beatCalls = 4
 	// remoteSilence lets hosts of other data centres claim, after all local ones
 	// had their turn and before leases of 5 s lapse.
 	remoteSilence = 3600 * time.Millisecond
@@ -44,6 +46,7 @@
 	ClaimedAt   time.Duration // When the claim in force was read.
 	LastRead    time.Duration // When the last successful read was sent.
 	ReadSince   time.Duration // Since when reads succeed without a gap.
+	StoreDelay  time.Duration // How long the log takes to answer.
 	LastAttempt time.Duration // When this host last claimed; zero for never.
 	Restarted   bool          // The owner's process has begun a new life.
 }
@@ -64,7 +67,8 @@
 	if vacant {
 		return vacantClaim(s)
 	}
-	silence := s.LastRead - max(s.LastBeat, s.ClaimedAt)
+	// A beat goes through two calls, and waits for the one before it.
+	silence := s.LastRead - max(s.LastBeat, s.ClaimedAt) - beatCalls*s.StoreDelay
 	switch {
 	case s.Local && silence > localSilence+delay:
 		return true, "the owner is silent"
--- /dev/null
+++ b/claimer/claimer_test.go
@@ -0,0 +1,72 @@
+package claimer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"briarspring/claimer"
+)
+
+const second = time.Second
+
+// healthy is a host that follows the log beside an owner that beats.
+func healthy(now time.Duration) claimer.Situation {
+	return claimer.Situation{
+		Now: now, Host: "host-1", Local: true, Owner: "host-2", Token: 9, OwnerLocal: true,
+		LastBeat: now - 300*time.Millisecond, LastRead: now - 20*time.Millisecond, ReadSince: now - 20*second,
+	}
+}
+
+func assertClaims(t *testing.T, want bool, s claimer.Situation) {
+	t.Helper()
+	got, why := claimer.ShouldClaim(s)
+	assert.Equal(t, want, got, why)
+}
+
+func TestShouldClaim(t *testing.T) {
+	t.Run("not while the owner beats", func(t *testing.T) { assertClaims(t, false, healthy(60*second)) })
+	t.Run("when the owner is silent", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.LastBeat = s.Now - 3*second
+		assertClaims(t, true, s)
+	})
+	t.Run("later in another data centre", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.Local = false
+		s.LastBeat = s.Now - 3*second
+		assertClaims(t, false, s)
+		s.LastBeat = s.Now - 5*second
+		assertClaims(t, true, s)
+	})
+	t.Run("not on what was read long ago", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.LastBeat, s.LastRead = s.Now-5*second, s.Now-second
+		assertClaims(t, false, s)
+	})
+	// A log that is 75 times slower delays beats, and every takeover costs a
+	// barrier; rolling stops through it changed owners four times in a data centre.
+	t.Run("not because the log is slow", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.LastBeat, s.StoreDelay = s.Now-2600*time.Millisecond, 350*time.Millisecond
+		assertClaims(t, false, s)
+	})
+	t.Run("soon when the owner's process began a new life", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.Restarted = true
+		assertClaims(t, true, s)
+	})
+	t.Run("when a host of another data centre is the owner", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.OwnerLocal = false
+		assertClaims(t, true, s)
+		s.ReadSince = s.Now - second
+		assertClaims(t, false, s)
+	})
+	t.Run("not again before the last try can have been read", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.LastBeat, s.LastAttempt = s.Now-5*second, s.Now-second
+		assertClaims(t, false, s)
+	})
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -55,6 +55,8 @@
 type Freshness interface {
 	// Fresh returns when the last successful read was sent.
 	Fresh() (time.Duration, bool)
+	// Delay returns how long the store takes to answer.
+	Delay() time.Duration
 }
 
 // Config holds the settings of a Steward.
@@ -273,6 +275,7 @@
 		}
 	})
 	sit.Now = s.config.Now()
+	sit.StoreDelay = s.config.Reading.Delay()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sit.LastRead, sit.ReadSince, sit.ClaimedAt, sit.LastAttempt = s.lastFresh, s.readSince, s.claimedAt, s.lastAttempt
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,9 @@
 	callSlack = 1200 * time.Millisecond
 	// retryPause after a failed call.
 	retryPause = 100 * time.Millisecond
+	// delayReads is the number of reads of which the shortest tells how fast the
+	// store answers; others may have waited for a record.
+	delayReads = 4
 	// disabledPause between two looks whether to read again.
 	disabledPause = 20 * time.Millisecond
 )
@@ -63,6 +67,9 @@
 	restored bool
 	failures int
 	fresh    atomic.Int64 // When the last successful read was sent, by Now.
+	delay    atomic.Int64 // Least time of the last reads.
+	took     [delayReads]time.Duration
+	reads    int
 	done     chan struct{}
 }
 
@@ -113,12 +120,23 @@
 			t.failures = 0
 		}
 		t.fresh.Store(int64(started))
+		t.measure(t.config.Now() - started)
 		if t.config.Interval != nil {
 			_ = sleeper.For(ctx, t.config.Interval()-(t.config.Now()-started))
 		}
 	}
 }
 
+// measure notes how long a read took.
+func (t *Tracker) measure(took time.Duration) {
+	t.took[t.reads%delayReads] = took
+	t.reads++
+	t.delay.Store(int64(slices.Min(t.took[:min(t.reads, delayReads)])))
+}
+
+// Delay returns how long the store takes to answer at present.
+func (t *Tracker) Delay() time.Duration { return time.Duration(t.delay.Load()) }
+
 func (t *Tracker) failed(ctx context.Context, err error) {
 	t.failures++
 	if t.failures == 1 && ctx.Err() == nil {
