--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -13,6 +13,7 @@
 
 	"briarspring"
 	"briarspring/balancer"
+	"briarspring/counter"
 	"briarspring/encoder"
 	"briarspring/registrar"
 	"briarspring/replicator"
@@ -79,7 +80,8 @@
 
 // Admitter takes workflows from callers.
 type Admitter struct {
-	config Config
+	config   Config
+	outcomes *counter.Counter
 }
 
 // New returns an admitter.
@@ -87,7 +89,7 @@
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
-	return &Admitter{config: c}
+	return &Admitter{config: c, outcomes: counter.New()}
 }
 
 // Reachable reports whether the log was read recently.
@@ -131,6 +133,27 @@
 // before, a *RefusedError when it never runs, and a *briarspring.DoubtError when
 // it may run.
 func (a *Admitter) Submit(ctx context.Context, q briarspring.Queue, w *briarspring.Workflow) error {
+	began := time.Now()
+	err := a.submit(ctx, q, w)
+	a.outcomes.Observe("submit", outcomeOf(err), time.Since(began))
+	return err
+}
+
+// Outcomes returns the counts and times of requests by outcome.
+func (a *Admitter) Outcomes() map[string]map[string]float64 { return a.outcomes.Snapshot() }
+
+func outcomeOf(err error) string {
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.As(err, &refused):
+		return "refused"
+	}
+	return "doubt"
+}
+
+func (a *Admitter) submit(ctx context.Context, q briarspring.Queue, w *briarspring.Workflow) error {
 	if a.known(w.ID) {
 		a.config.Logger.Info("submission repeated", "workflow", w.ID)
 		return nil
@@ -238,6 +261,8 @@
 	if err != nil || !known || phase.Final() {
 		return known, err
 	}
+	began := time.Now()
+	defer func() { a.outcomes.Observe("cancel", outcomeOf(err), time.Since(began)) }()
 	err = a.store(ctx, id, func() briarspring.KeyedRecord {
 		return briarspring.KeyedRecord{Key: registrar.CancelKey(id), Value: []byte{1}}
 	})
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -13,6 +13,7 @@
 	"briarspring/admitter"
 	"briarspring/appender"
 	"briarspring/cataloguer"
+	"briarspring/counter"
 	"briarspring/dispatcher"
 	"briarspring/encoder"
 	"briarspring/launcher"
@@ -34,6 +35,7 @@
 	StopTime    time.Duration // For finishing what is in flight.
 	FrontAddr   string
 	ReadyAddr   string
+	MetricsAddr string // Empty for none.
 
 	Store   steward.Store
 	Workers steward.Workers
@@ -81,6 +83,8 @@
 func NewCore(c HostConfig) (*launcher.Launcher, *admitter.Admitter) {
 	incarnation := time.Now().UnixMilli()
 	logger := c.Logger
+	calls := counter.New()
+	c.Store = &meteredStore{Store: c.Store, calls: calls}
 	shared := appender.New(appender.Config{Stream: briarspring.SharedStream, Store: c.Store})
 	replica := replicator.New(replicator.Config{Now: c.Now, Logger: logger})
 	catalogue := cataloguer.New(cataloguer.Config{Decoder: c.Decoder, Logger: logger})
@@ -112,8 +116,9 @@
 	l.Add("directory", directory)
 	l.Add("listing", listing)
 	l.Add("presence", newPresence(c, incarnation, shared))
+	stewards := map[string]*steward.Steward{}
 	for _, name := range c.DataCentres {
-		l.Add("steward-"+name, steward.New(steward.Config{
+		stewards[name] = steward.New(steward.Config{
 			Host: c.Host, HostCentre: c.DataCentre, DataCentre: name, DataCentres: c.DataCentres, Incarnation: incarnation, MilliCPU: c.MilliCPU,
 			Lease: min(usualLease, c.MaxLease), MaxLease: c.MaxLease,
 			Store: c.Store, Shared: shared, Workers: c.Workers, List: list, Catalogue: catalogue, Replica: replica,
@@ -125,8 +130,11 @@
 					owned.Add(-1)
 				}
 			},
-		}))
+		})
+		l.Add("steward-"+name, stewards[name])
 	}
+	streams := map[string]*tracker.Tracker{"shared": reading, "directory": directory, "workers": listing}
+	addMetrics(l, c, intake, calls, streams, stewards)
 	return l, intake
 }
 
--- a/cmd/briarspring/check.go
+++ b/cmd/briarspring/check.go
@@ -4,10 +4,12 @@
 	"fmt"
 
 	"briarspring/loader"
+	"briarspring/platform"
 )
 
 type checkCmd struct {
 	File      string `arg:"" optional:"" help:"Settings file (INI)."`
+	Platform  bool   `help:"The file is the platform's settings of a host."`
 	Reference bool   `help:"Print the reference of all settings instead."`
 }
 
@@ -22,7 +24,11 @@
 			Section: "arguments", Expected: "expected a settings file or --reference",
 		}}}
 	}
-	if _, err := loader.Load(c.File); err != nil {
+	check := func() error { _, err := loader.Load(c.File); return err }
+	if c.Platform {
+		check = func() error { _, err := platform.LoadSettings(c.File); return err }
+	}
+	if err := check(); err != nil {
 		return err
 	}
 	fmt.Println(c.File + ": no faults")
--- a/cmd/briarspring/host.go
+++ b/cmd/briarspring/host.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -21,6 +23,7 @@
 
 type hostCmd struct {
 	Settings string `arg:"" optional:"" env:"BRIARSPRING_BOOT" help:"Settings file of the platform."`
+	Metrics  int    `default:"9464" help:"Port of the metrics, at the address of the front; 0 for none."`
 	Level    string `default:"info" enum:"trace,debug,info,warn,error" help:"Least level of log lines."`
 }
 
@@ -46,7 +49,7 @@
 	logger := hclog.New(&hclog.LoggerOptions{
 		Name: settings.Host, Level: hclog.LevelFromString(c.Level), Output: logs, JSONFormat: true,
 	})
-	l, err := assembler.NewHost(hostConfig(settings, logger, logs))
+	l, err := assembler.NewHost(c.hostConfig(settings, logger, logs))
 	if err != nil {
 		return err
 	}
@@ -58,14 +61,15 @@
 	return nil
 }
 
-func hostConfig(s platform.Settings, logger hclog.Logger, logs launcher.Part) assembler.HostConfig {
+func (c *hostCmd) hostConfig(s platform.Settings, logger hclog.Logger, logs launcher.Part) assembler.HostConfig {
 	return assembler.HostConfig{
 		Host: s.Host, DataCentre: s.DataCentre, DataCentres: s.DataCentres, MilliCPU: s.MilliCPU,
 		MaxLease: s.MaxLease, StopTime: s.StopGrace - exitTime, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr,
-		Store:   platform.NewStore(platform.StoreConfig{Address: s.StoreAddr, WriteRate: s.WriteRate, ReadRate: s.ReadRate}),
-		Workers: platform.NewWorkers(),
-		Decoder: platform.Decoder{},
-		Front:   func(a *admitter.Admitter) http.Handler { return platform.NewFront(a, logger) },
+		MetricsAddr: c.metricsAddr(s),
+		Store:       platform.NewStore(platform.StoreConfig{Address: s.StoreAddr, WriteRate: s.WriteRate, ReadRate: s.ReadRate}),
+		Workers:     platform.NewWorkers(),
+		Decoder:     platform.Decoder{},
+		Front:       func(a *admitter.Admitter) http.Handler { return platform.NewFront(a, logger) },
 		Ready: func(a *admitter.Admitter, draining func() bool) http.Handler {
 			return platform.NewReady(a, draining)
 		},
@@ -73,6 +77,15 @@
 	}
 }
 
+// metricsAddr returns where metrics are served: beside the front.
+func (c *hostCmd) metricsAddr(s platform.Settings) string {
+	ip, _, err := net.SplitHostPort(s.FrontAddr)
+	if err != nil || c.Metrics == 0 {
+		return ""
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(c.Metrics))
+}
+
 // watchReload checks the settings file when it has changed. Every setting that
 // a host uses is bound to its life, so changes take effect with the next one.
 func (c *hostCmd) watchReload(ctx context.Context, logger hclog.Logger) {
--- a/cmd/briarspring/main.go
+++ b/cmd/briarspring/main.go
@@ -25,6 +25,7 @@
 	Gateway       gatewayCmd                   `cmd:"" help:"Take callers' requests and route them to executors."`
 	Scheduler     schedulerCmd                 `cmd:"" help:"Follow the log, place tasks and serve the operators' calls."`
 	Host          hostCmd                      `cmd:"" help:"Run workflows on the platform: take jobs, and own workers when that is due."`
+	Trace         traceCmd                     `cmd:"" help:"Print what collected logs say of one request, over all hosts."`
 	Ctl           ctlCmd                       `cmd:"" help:"Operators' commands."`
 	Dev           devCmd                       `cmd:"" help:"Run everything in one process on an embedded platform."`
 	CheckSettings checkCmd                     `cmd:"" help:"Check a settings file and print every fault."`
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -37,6 +37,8 @@
 	// Share returns the share of full speed at which one more task of an image
 	// could work on a worker.
 	Share(worker, image string, cores float64, serving []Serving, filling []Filling) float64
+	// Presses reports whether an image presses any of the tasks that serve.
+	Presses(image string, serving []Serving) bool
 	// Burden returns the share of all images that press tasks that serve.
 	Burden(serving []Serving) float64
 }
@@ -84,7 +86,6 @@
 
 	orders     []Order
 	dirty      map[briarspring.WorkflowID]*job
-	shared     []briarspring.KeyedRecord
 	changed    bool
 	averages   averages
 	meanSize   map[string]float64 // Mean work of a workflow by queue.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -55,7 +55,7 @@
 }
 
 func (s *site) hold(id string) {
-	h, ok := s.d.Hold(s.now, id, 0)
+	h, ok := s.d.Hold(s.now, id)
 	require.True(s.t, ok)
 	w := s.workers[id]
 	for len(w.ended) > 0 && w.ended[0].Number <= h.EndsBefore {
@@ -199,10 +199,10 @@
 		s.d.Submit(s.now, 0, workflow("a", step(2, 1000)), 5, nil)
 		s.end("w0", starts(s.plan())["w0"][0], briarspring.RunDone)
 		s.holdAll()
-		h, _ := s.d.Hold(s.now, "w0", 0)
+		h, _ := s.d.Hold(s.now, "w0")
 		assert.Zero(t, h.EndsBefore)
 		s.store()
-		h, _ = s.d.Hold(s.now, "w0", 0)
+		h, _ = s.d.Hold(s.now, "w0")
 		assert.Equal(t, uint64(1), h.EndsBefore)
 	})
 	t.Run("of a new life are not acknowledged by numbers of the old one", func(t *testing.T) {
@@ -212,7 +212,7 @@
 		s.holdAll()
 		s.store()
 		s.d.HoldLost(s.now, "w0", briarspring.VerdictUnanswered)
-		h, _ := s.d.Hold(s.now, "w0", 0)
+		h, _ := s.d.Hold(s.now, "w0")
 		assert.Zero(t, h.EndsBefore)
 	})
 }
@@ -226,7 +226,7 @@
 		require.Len(t, starts(s.plan()), 2)
 		for range 70 {
 			s.now += 100 * time.Millisecond
-			s.d.Hold(s.now, "w0", 0)
+			s.d.Hold(s.now, "w0")
 			s.d.HoldLost(s.now, "w0", briarspring.VerdictUnanswered)
 			s.hold("w1")
 			s.d.Plan(s.now)
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -16,12 +16,12 @@
 )
 
 // Hold returns the next renewal for a worker.
-func (d *Dispatcher) Hold(now time.Duration, id string, wait time.Duration) (briarspring.HoldRequest, bool) {
+func (d *Dispatcher) Hold(now time.Duration, id string) (briarspring.HoldRequest, bool) {
 	w := d.workers[id]
 	if w == nil {
 		return briarspring.HoldRequest{}, false
 	}
-	h := briarspring.HoldRequest{Token: d.config.Token, Wait: wait}
+	h := briarspring.HoldRequest{Token: d.config.Token, Wait: w.wait()}
 	if !w.fenced {
 		return h, true
 	}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -18,7 +18,6 @@
 	phase     briarspring.Phase
 	published briarspring.Phase // Last phase that was handed out for the log.
 	recorded  bool              // The final phase is in the log.
-	dropped   bool              // The progress record was dropped.
 	hasRecord bool              // A progress record exists or is on its way.
 	size      float64           // Declared work of all tasks, in thousandths of a core times seconds.
 	away      bool              // All tasks were transferred to other data centres.
--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -9,9 +9,24 @@
 	"briarspring"
 )
 
-// paceInterval is the least time between two decisions on a worker's pace; the
-// platform averages tails over half a second.
-const paceInterval = 250 * time.Millisecond
+const (
+	// paceInterval is the least time between two decisions on a worker's pace; the
+	// platform averages tails over half a second.
+	paceInterval = 200 * time.Millisecond
+	// usualWait of a renewal for an end; tails are read as often.
+	usualWait = 500 * time.Millisecond
+	// pressedWait is the same on a worker where a task presses others; tails rise
+	// to several times their target within half a second.
+	pressedWait = 220 * time.Millisecond
+)
+
+// wait returns how long a renewal waits for an end.
+func (w *worker) wait() time.Duration {
+	if w.pressed {
+		return pressedWait
+	}
+	return usualWait
+}
 
 // pace has the pacer look at a worker and orders what it decides.
 func (d *Dispatcher) pace(w *worker) {
@@ -23,6 +38,9 @@
 	if d.logger.IsDebug() {
 		d.logger.Debug("reading", "worker", w.id, "serving", fmt.Sprint(serving), "filling", fmt.Sprint(filling), "uses", w.uses())
 	}
+	w.pressed = slices.ContainsFunc(filling, func(f Filling) bool {
+		return f.Percent > 0 && d.config.Pacer.Presses(f.Image, serving)
+	})
 	for _, p := range d.config.Pacer.Decide(d.now, w.id, serving, filling) {
 		r := w.runs[p.Run]
 		if r == nil {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -347,7 +347,7 @@
 const (
 	// leastShare of full speed at which a task that fills is worth starting; it
 	// holds the rate of its workflow back below.
-	leastShare = 0.45
+	leastShare = 0.4
 	// slowCost of a worker on which a task works at no speed, against one whose
 	// processors are all in use.
 	slowCost = 1.5
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -60,6 +60,7 @@
 	pausedUntil time.Duration
 	slow        float64 // Learned factor of run times, one is normal.
 	paceAt      time.Duration
+	pressed     bool // A task that fills presses one that serves.
 }
 
 // worker returns the worker of an ID and makes it when there is none.
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -30,10 +30,10 @@
 	pressingRise = 0.06
 	// usualPeak is the ratio of the present pressure to the average one that is
 	// reckoned with at first: amounts drift.
-	usualPeak = 2.0
+	usualPeak = 3.0
 	// leastGain and mostGain bound the factor by which readings change the room.
 	leastGain = 0.1
-	mostGain  = 3.0
+	mostGain  = 1.0
 	// gainCut after a reading above brakeTail, and gainStep after a calm one.
 	gainCut  = 0.5
 	gainStep = 1.15
@@ -76,7 +76,7 @@
 		return 0
 	}
 	rise, spread := e.rise(image)
-	return max(0, rise-spread/2)
+	return max(0, rise-spread/4)
 }
 
 // Burden returns the share of the known images that press a task that serves.
@@ -86,15 +86,15 @@
 	}
 	n := 0
 	for image := range p.images {
-		if p.presses(image, serving) {
+		if p.Presses(image, serving) {
 			n++
 		}
 	}
 	return float64(n) / float64(len(p.images))
 }
 
-// presses reports whether an image presses any of the tasks that serve.
-func (p *Pacer) presses(image string, serving []dispatcher.Serving) bool {
+// Presses reports whether an image presses any of the tasks that serve.
+func (p *Pacer) Presses(image string, serving []dispatcher.Serving) bool {
 	return slices.ContainsFunc(serving, func(s dispatcher.Serving) bool { return p.Rise(s.Image, image) >= pressingRise })
 }
 
--- a/steward/agent.go
+++ b/steward/agent.go
@@ -38,7 +38,7 @@
 func (t *term) hold(ctx context.Context, a *agent) {
 	sent := t.config.Now()
 	t.mu.Lock()
-	request, known := t.engine.Hold(sent, a.id, holdWait)
+	request, known := t.engine.Hold(sent, a.id)
 	stored := t.stored
 	t.mu.Unlock()
 	if !known {
--- a/steward/commit.go
+++ b/steward/commit.go
@@ -62,6 +62,13 @@
 			t.logger.Warn("a newer owner has taken the progress stream over", "error", err)
 			return false
 		}
+		var sequence *briarspring.SequenceError
+		if errors.As(err, &sequence) {
+			// Only this term writes under its epoch, so its own count is wrong; the
+			// next term begins a new one.
+			t.logger.Error("progress does not follow the last append", "error", err)
+			return false
+		}
 		if failures == 0 {
 			t.logger.Warn("progress can't be stored", "records", len(batch.Progress), "error", err)
 		}
--- a/steward/term.go
+++ b/steward/term.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// holdWait of a renewal for an end; tails are read as often.
-	holdWait = 500 * time.Millisecond
 	// holdSlack is added to the wait for the time-out of a hold.
 	holdSlack = 700 * time.Millisecond
 	// holdPause after a hold that got no answer.
