--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -165,7 +165,8 @@
 		w.DataCentre = a.choose(w)
 	}
 	if err := a.admit(q, w); err != nil {
-		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "error", err)
+		age, _ := a.config.Reading.Age()
+		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "state-age-ms", age.Milliseconds(), "error", err)
 		return err
 	}
 	value, err := encoder.Submission(w)
@@ -266,7 +267,7 @@
 	err = a.store(ctx, id, func() briarspring.KeyedRecord {
 		return briarspring.KeyedRecord{Key: registrar.CancelKey(id), Value: []byte{1}}
 	})
-	a.config.Logger.Info("cancellation", "workflow", id, "phase", phase, "stored", err == nil, "error", err)
+	a.config.Logger.Info("cancellation", "workflow", id, "phase", phase.String(), "stored", err == nil, "error", err)
 	return true, err
 }
 
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -56,10 +56,10 @@
 	sharedWait = time.Second
 	// ownerInterval is the least time between two reads of the shared stream by
 	// an owner, which starts what it reads.
-	ownerInterval = 25 * time.Millisecond
+	ownerInterval = 35 * time.Millisecond
 	// followerInterval is the same for other hosts, which only tell how far
 	// workflows have come.
-	followerInterval = 150 * time.Millisecond
+	followerInterval = 200 * time.Millisecond
 	// directoryWait of a read for the operators' next change.
 	directoryWait = 2 * time.Second
 	// workersInterval is the least time between two reads of the list of
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -344,3 +344,47 @@
 		assert.Equal(t, uint32(5), list[0].Run)
 	})
 }
+
+func TestStragglers(t *testing.T) {
+	t.Run("are copied where that is allowed", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 2)
+		twice := step(1, 1000)
+		twice.Speculative = true
+		s.d.Submit(s.now, 0, workflow("a", twice), 5, nil)
+		first := starts(s.plan())
+		s.now += 1500 * time.Millisecond
+		s.holdAll()
+		assert.Empty(t, starts(s.plan()))
+		s.now += 400 * time.Millisecond
+		s.holdAll()
+		second := starts(s.plan())
+		require.Equal(t, 1, count(second))
+		for worker := range first {
+			assert.NotContains(t, second, worker)
+		}
+		for worker, runs := range second {
+			s.end(worker, runs[0], briarspring.RunDone)
+		}
+		s.holdAll()
+		orders := s.plan()
+		require.Len(t, orders, 1)
+		assert.Equal(t, dispatcher.OrderStop, orders[0].Kind, "the slow run is stopped")
+	})
+	t.Run("that stand still start again elsewhere", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 2)
+		s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil)
+		first := starts(s.plan())
+		for range 20 {
+			s.now += 100 * time.Millisecond
+			s.holdAll()
+			for _, o := range s.plan() {
+				if o.Kind == dispatcher.OrderStart {
+					assert.NotContains(t, first, o.Worker)
+					assert.Equal(t, uint32(2), o.Start.Run.Run)
+					return
+				}
+			}
+		}
+		assert.Fail(t, "it was not started again")
+	})
+}
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"briarspring"
 )
 
@@ -94,6 +96,7 @@
 		d.running(w, sent, t)
 	}
 	d.missing(w, sent, listed)
+	d.stalls(w)
 	for ref := range w.orphans {
 		if !listed[ref] {
 			delete(w.orphans, ref)
@@ -132,8 +135,12 @@
 	r := w.runs[e.Run]
 	t.lastRun = max(t.lastRun, e.Run.Run)
 	d.markDirty(j)
-	d.logger.Debug("run ended", "workflow", j.workflow.ID, "step", t.step.number, "index", t.index, "run", e.Run.Run,
-		"end", e.End, "worker", w.id, "took-ms", r.age(d.now).Milliseconds())
+	level := hclog.Debug
+	if e.End != briarspring.RunDone && (r == nil || !r.stopping) {
+		level = hclog.Info
+	}
+	d.logger.Log(level, "run ended", "workflow", j.workflow.ID, "step", t.step.number, "index", t.index, "run", e.Run.Run,
+		"end", e.End.String(), "worker", w.id, "took-ms", r.age(d.now).Milliseconds())
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
@@ -205,7 +212,10 @@
 		r.state = runAlive
 		r.settledAt = d.now
 	}
-	r.listed = true
+	if !r.listed {
+		r.listed = true
+		r.percentAt = d.now
+	}
 	r.checkpoint = listed.Checkpoint
 	if listed.Checkpoint != "" {
 		r.task.checkpoint = listed.Checkpoint
@@ -286,7 +296,7 @@
 	j := r.task.step.job
 	d.counters.Lost++
 	d.logger.Info("run lost", "workflow", j.workflow.ID, "step", r.task.step.number, "index", r.task.index,
-		"run", r.ref.Run, "worker", r.worker.id, "state", r.state, "why", why)
+		"run", r.ref.Run, "worker", r.worker.id, "state", r.state.String(), "why", why)
 	d.removeRun(r)
 	d.markDirty(j)
 	d.settle(j)
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -243,7 +243,7 @@
 	}
 	j.cancelled = true
 	d.changed = true
-	d.logger.Info("workflow cancelled", "workflow", id, "runs", j.alive(), "phase", j.phase)
+	d.logger.Info("workflow cancelled", "workflow", id, "runs", j.alive(), "phase", j.phase.String())
 	d.stopAll(j)
 }
 
@@ -302,7 +302,7 @@
 	j.phase = phase
 	d.changed = true
 	if phase.Final() {
-		d.logger.Info("workflow over", "workflow", j.workflow.ID, "phase", phase, "age-ms", (d.now - j.submitted).Milliseconds(),
+		d.logger.Info("workflow over", "workflow", j.workflow.ID, "phase", phase.String(), "age-ms", (d.now - j.submitted).Milliseconds(),
 			"objective-ms", j.workflow.Objective().Milliseconds())
 		d.stopAll(j)
 	}
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -93,7 +93,7 @@
 	d.markDirty(j)
 	d.settle(j)
 	d.logger.Info("start", "workflow", j.workflow.ID, "step", t.step.number, "index", t.index, "run", r.ref.Run,
-		"worker", w.id, "waited-ms", waited.Milliseconds(), "free", w.free(), "checkpoint", t.checkpoint != "")
+		"worker", w.id, "waited-ms", waited.Milliseconds(), "free", w.free().String(), "checkpoint", t.checkpoint != "")
 	d.orders = append(d.orders, Order{
 		Kind: OrderStart, Worker: w.id, Address: w.entry.Address,
 		Start: briarspring.StartOrder{
--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -95,6 +95,7 @@
 		r.slowedAt = d.now
 	}
 	r.pace = percent
+	r.pacedAt = d.now
 	weight := r.task.step.spec().Resources.MilliCPU() * int64(percent) / fullSpeed
 	r.worker.filling += weight - r.weight
 	r.weight = weight
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -104,6 +104,14 @@
 	for _, c := range reserved {
 		d.assignReserved(c.step)
 	}
+	for _, j := range d.jobs {
+		if j.over() || !open && d.inherited(j) {
+			continue
+		}
+		for _, s := range j.steps {
+			d.copies(s)
+		}
+	}
 	slices.SortFunc(filling, compareFilling)
 	for _, c := range filling {
 		d.assignFilling(c.step)
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -103,7 +103,7 @@
 	w := d.worker(e.ID)
 	if !w.listed {
 		d.changed = true
-		d.logger.Info("worker listed", "worker", e.ID, "capacity", e.Capacity, "rack", e.Rack, "draining", e.Draining)
+		d.logger.Info("worker listed", "worker", e.ID, "capacity", e.Capacity.String(), "rack", e.Rack, "draining", e.Draining)
 	} else if e.Draining != w.entry.Draining {
 		d.changed = true
 		d.logger.Info("worker's state changed", "worker", e.ID, "draining", e.Draining, "remaining-ms", e.Remaining.Milliseconds())
@@ -160,6 +160,15 @@
 	runUnknown                     // An earlier owner recorded it.
 )
 
+// String returns the state in kebab case.
+func (s runState) String() string {
+	names := [...]string{"", "ordered", "alive", "doubt", "unknown"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return "invalid"
+}
+
 // run is one start of a task.
 type run struct {
 	ref        briarspring.RunRef
@@ -182,6 +191,7 @@
 	paceSent   int
 	paceAt     time.Duration
 	slowedAt   time.Duration // When its pace became so slow that it is better off elsewhere.
+	pacedAt    time.Duration // When its pace was last changed.
 	weight     int64         // What it adds to the worker's filling.
 }
 
--- a/workflow.go
+++ b/workflow.go
@@ -159,6 +159,15 @@
 	RunBroken  RunEnd = 5 // Any other cause.
 )
 
+// String returns the end in kebab case.
+func (e RunEnd) String() string {
+	names := [...]string{"", "done", "failed", "stopped", "lapsed", "broken"}
+	if int(e) < len(names) {
+		return names[e]
+	}
+	return "unknown"
+}
+
 // WorkerEntry is what a worker says of itself in the platform's list.
 type WorkerEntry struct {
 	ID         string
