Waiting workflows start, lasting tasks get memory, outages make no owner silent

Owners also hand on what they learned of images, so that a takeover does not let every pair press once.

--- a/assembler/host.go
+++ b/assembler/host.go
@@ -14,7 +14,6 @@
 	"briarspring/appender"
 	"briarspring/cataloguer"
 	"briarspring/counter"
-	"briarspring/dispatcher"
 	"briarspring/encoder"
 	"briarspring/launcher"
 	"briarspring/lister"
@@ -122,7 +121,7 @@
 			Host: c.Host, HostCentre: c.DataCentre, DataCentre: name, DataCentres: c.DataCentres, Incarnation: incarnation, MilliCPU: c.MilliCPU,
 			Lease: min(usualLease, c.MaxLease), MaxLease: c.MaxLease,
 			Store: c.Store, Shared: shared, Workers: c.Workers, List: list, Catalogue: catalogue, Replica: replica,
-			Reading: reading, Listing: listing, NewPacer: func() dispatcher.Pacer { return pacer.New() }, Now: c.Now, Logger: logger,
+			Reading: reading, Listing: listing, NewPacer: func() steward.Pacer { return pacer.New() }, Now: c.Now, Logger: logger,
 			Follow: func(on bool) {
 				if on {
 					owned.Add(1)
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -67,8 +67,9 @@
 	if vacant {
 		return vacantClaim(s)
 	}
-	// A beat goes through two calls, and waits for the one before it.
-	silence := s.LastRead - max(s.LastBeat, s.ClaimedAt) - beatCalls*s.StoreDelay
+	// A beat goes through two calls, and waits for the one before it. While the log
+	// could not be read nobody could beat.
+	silence := s.LastRead - max(s.LastBeat, s.ClaimedAt, s.ReadSince) - beatCalls*s.StoreDelay
 	switch {
 	case s.Local && silence > localSilence+delay:
 		return true, "the owner is silent"
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -52,6 +52,12 @@
 		s.LastBeat, s.StoreDelay = s.Now-2600*time.Millisecond, 350*time.Millisecond
 		assertClaims(t, false, s)
 	})
+	// After an outage of the log every host claimed every data centre at once.
+	t.Run("not because nobody could beat", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.LastBeat, s.ReadSince = s.Now-6*second, s.Now-second
+		assertClaims(t, false, s)
+	})
 	t.Run("soon when the owner's process began a new life", func(t *testing.T) {
 		s := healthy(60 * second)
 		s.Restarted = true
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -388,3 +388,58 @@
 		assert.Fail(t, "it was not started again")
 	})
 }
+
+// stubPacer lets nothing that fills run at more than a share of full speed.
+type stubPacer struct{ share float64 }
+
+func (stubPacer) Decide(time.Duration, string, []dispatcher.Serving, []dispatcher.Filling) []dispatcher.Pace {
+	return nil
+}
+
+func (p stubPacer) Share(string, string, float64, []dispatcher.Serving, []dispatcher.Filling) float64 {
+	return p.share
+}
+
+func (stubPacer) Presses(string, []dispatcher.Serving) bool { return true }
+func (stubPacer) Burden([]dispatcher.Serving) float64       { return 0 }
+
+func TestFilling(t *testing.T) {
+	fills := step(3, 1000)
+	fills.Fills, fills.Image = true, "x"
+	// A workflow of which nothing ran waited for a worker that it does not press
+	// until the end of the day.
+	t.Run("starts one task when nothing of its workflow can run at a good pace", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1, Pacer: stubPacer{share: 0.05}}, 2)
+		s.d.Submit(s.now, 0, workflow("a", fills), 5, nil)
+		assert.Empty(t, starts(s.plan()))
+		s.now += 1300 * time.Millisecond
+		s.holdAll()
+		orders := s.plan()
+		assert.Equal(t, 1, count(starts(orders)))
+		s.now += 3 * time.Second
+		s.holdAll()
+		for _, o := range s.plan() {
+			assert.NotEqual(t, dispatcher.OrderStop, o.Kind, "it is all that runs of its workflow")
+		}
+	})
+	t.Run("gives its memory to lasting tasks", func(t *testing.T) {
+		s := newSite(t, dispatcher.Config{Token: 1}, 1)
+		large := step(7, 1000)
+		large.Fills, large.Checkpoints = true, true
+		large.Resources = briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: 1000, MemoryMiB: 4500})
+		s.d.Submit(s.now, 0, workflow("a", large), 5, nil)
+		require.Equal(t, 7, count(starts(s.plan())))
+		lasting := step(1, 3000)
+		lasting.Lasting = true
+		lasting.Resources = briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: 3000, MemoryMiB: 9000})
+		s.d.Submit(s.now, 0, workflow("b", lasting), 6, nil)
+		orders := s.plan()
+		require.Len(t, orders, 2, "two of seven give way")
+		assert.Equal(t, dispatcher.OrderStop, orders[0].Kind)
+		s.now += 300 * time.Millisecond
+		s.holdAll()
+		list := starts(s.plan())
+		require.NotEmpty(t, list["w0"])
+		assert.Equal(t, briarspring.WorkflowID("b"), list["w0"][0].Task.Workflow)
+	})
+}
--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -63,6 +63,8 @@
 	// slowTime at that pace before a task with checkpoints gives way; a restart
 	// costs 0.25 to 0.6 s.
 	slowTime = 900 * time.Millisecond
+	// moveShare of full speed elsewhere makes a move worth it.
+	moveShare = 0.7
 	// slowTimeUnsaved is the same for a task that loses its work.
 	slowTimeUnsaved = 2500 * time.Millisecond
 	// unsavedPercent of progress up to which a task without checkpoints gives way.
@@ -81,6 +83,13 @@
 		if spec.Checkpoints && slowed < slowTime || !spec.Checkpoints && (slowed < slowTimeUnsaved || r.percent > unsavedPercent) {
 			continue
 		}
+		if r.task.step.job.alive() == 1 {
+			// Nothing else of its workflow runs, so it stays unless there is a better
+			// place.
+			if other, share := d.bestFilling(r.task); other == nil || other == w || share < moveShare {
+				continue
+			}
+		}
 		d.stop(r, "gives way to tasks that press less")
 	}
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -215,6 +215,7 @@
 		}
 		w := d.bestReserved(t)
 		if w == nil {
+			d.makeRoom(t)
 			return
 		}
 		d.start(t, w)
@@ -227,8 +228,13 @@
 	return !t.step.spec().Lasting && most > 0 && t.failures() >= most
 }
 
-// fits reports whether a task may run on a worker.
+// fits reports whether a task may run on a worker and has room there.
 func (d *Dispatcher) fits(t *task, w *worker) bool {
+	return d.eligible(t, w) && reservation(t.step.spec()).Fits(w.free())
+}
+
+// eligible reports whether a task may run on a worker, room aside.
+func (d *Dispatcher) eligible(t *task, w *worker) bool {
 	spec := t.step.spec()
 	if w.entry.Service != t.step.job.workflow.Service || !w.usable(d.now) || !w.trusted(d.now) {
 		return false
@@ -236,10 +242,7 @@
 	if spec.Requirement != "" && !slices.Contains(w.entry.Labels, spec.Requirement) {
 		return false
 	}
-	if spec.MaxPerWorker > 0 && t.step.spread[w] >= spec.MaxPerWorker {
-		return false
-	}
-	return reservation(spec).Fits(w.free())
+	return spec.MaxPerWorker <= 0 || t.step.spread[w] < spec.MaxPerWorker
 }
 
 // bestReserved returns the worker for a task whose processors are reserved, or
@@ -316,6 +319,9 @@
 			continue
 		}
 		w, share := d.bestFilling(t)
+		if w == nil && d.starves(t) {
+			w, share = d.leastHarm(t)
+		}
 		if w == nil {
 			d.explainWaiting(t)
 			return
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -243,3 +244,36 @@
 	}
 	return r, nil
 }
+
+// PressModels returns the bytes of what an owner has learned.
+func PressModels(models []briarspring.PressModel) ([]byte, error) {
+	m := &pb.PressModels{}
+	for _, model := range models {
+		one := &pb.PressModel{Serving: model.Serving, Constant: model.Constant}
+		for _, p := range model.Pairs {
+			one.Pairs = append(one.Pairs, &pb.PressPair{Image: p.Image, Rise: p.Rise, Variance: p.Variance})
+		}
+		m.Models = append(m.Models, one)
+	}
+	return proto.Marshal(m)
+}
+
+// DecodePressModels returns what an owner has learned, or a *MalformedError.
+func DecodePressModels(data []byte) ([]briarspring.PressModel, error) {
+	var m pb.PressModels
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, &MalformedError{What: "model", Cause: err}
+	}
+	var models []briarspring.PressModel
+	for _, one := range m.Models {
+		model := briarspring.PressModel{Serving: one.Serving, Constant: one.Constant}
+		for _, p := range one.Pairs {
+			if !(p.Variance > 0) || math.IsNaN(p.Rise) || math.IsInf(p.Rise, 0) {
+				return nil, malformed("model", "rise %g with variance %g", p.Rise, p.Variance)
+			}
+			model.Pairs = append(model.Pairs, briarspring.PressPair{Image: p.Image, Rise: p.Rise, Variance: p.Variance})
+		}
+		models = append(models, model)
+	}
+	return models, nil
+}
--- a/pacer/estimate.go
+++ b/pacer/estimate.go
@@ -1,6 +1,12 @@
 package pacer
 
-import "math"
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"briarspring"
+)
 
 const (
 	// priorSpread is how large a rise per core may be before anything was
@@ -123,3 +129,49 @@
 	}
 	return max(0, e.value[i]), math.Sqrt(max(0, e.cov[i][i]))
 }
+
+const (
+	// knownSpread is the standard error below which a rise is told to others.
+	knownSpread = 0.12
+	// adoptFactor is how many times larger than a told variance the own one must
+	// be before the told value is taken over.
+	adoptFactor = 4.0
+	// adoptVariance is the least variance of a value that was taken over: amounts
+	// drift, and differ a little between data centres.
+	adoptVariance = 0.005
+)
+
+// tell returns what is known well.
+func (e *estimate) tell(serving string) briarspring.PressModel {
+	m := briarspring.PressModel{Serving: serving, Constant: e.value[0]}
+	for _, image := range slices.Sorted(maps.Keys(e.index)) {
+		i := e.index[image]
+		if e.cov[i][i] > 0 && e.cov[i][i] < knownSpread*knownSpread {
+			m.Pairs = append(m.Pairs, briarspring.PressPair{Image: image, Rise: e.value[i], Variance: e.cov[i][i]})
+		}
+	}
+	return m
+}
+
+// adopt takes over what another owner knows much better.
+func (e *estimate) adopt(m briarspring.PressModel) {
+	for _, p := range m.Pairs {
+		variance := max(adoptVariance, p.Variance)
+		if i, ok := e.at(p.Image); ok && e.cov[i][i] > adoptFactor*variance {
+			e.set(i, p.Rise, variance)
+		}
+	}
+	if variance := float64(adoptVariance); len(m.Pairs) > 0 && e.cov[0][0] > adoptFactor*variance {
+		e.set(0, m.Constant, variance)
+	}
+}
+
+// set gives a value that does not depend on the others.
+func (e *estimate) set(i int, value, variance float64) {
+	e.value[i] = value
+	for j := range e.cov {
+		e.cov[i][j] = 0
+		e.cov[j][i] = 0
+	}
+	e.cov[i][i] = variance
+}
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -7,10 +7,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"briarspring"
 	"briarspring/dispatcher"
 )
 
@@ -103,6 +105,10 @@
 func (p *Pacer) Share(worker, image string, cores float64, serving []dispatcher.Serving, filling []dispatcher.Filling) float64 {
 	share := 1.0
 	for _, s := range serving {
+		if s.Tail >= stopTail {
+			// What raises this tail is not known for certain, so nothing is added.
+			return 0
+		}
 		rise := p.Rise(s.Image, image)
 		if rise < pressingRise {
 			continue
@@ -271,26 +277,29 @@
 	return paces
 }
 
-// Table returns the estimated rises for logs, in order.
-func (p *Pacer) Table() []Pair {
-	var list []Pair
-	for serving, e := range p.estimates {
-		for image := range e.index {
-			if rise, spread := e.rise(image); rise >= pressingRise {
-				list = append(list, Pair{Serving: serving, Image: image, Rise: rise, Spread: spread})
-			}
+// Model returns what is known well, for other owners.
+func (p *Pacer) Model() []briarspring.PressModel {
+	var models []briarspring.PressModel
+	for _, serving := range slices.Sorted(maps.Keys(p.estimates)) {
+		if m := p.estimates[serving].tell(serving); len(m.Pairs) > 0 {
+			models = append(models, m)
 		}
 	}
-	slices.SortFunc(list, func(a, b Pair) int {
-		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Image, b.Image))
-	})
-	return list
+	return models
 }
 
-// Pair is an image that presses another one.
-type Pair struct {
-	Serving string
-	Image   string
-	Rise    float64 // Of the tail for each core, as a share of the target.
-	Spread  float64 // Standard error of the rise.
+// Adopt takes over what other owners know much better. It answers changes of
+// owners: a new one would let every pair press once to learn it.
+func (p *Pacer) Adopt(models []briarspring.PressModel) {
+	for _, m := range models {
+		e := p.estimates[m.Serving]
+		if e == nil {
+			e = newEstimate()
+			p.estimates[m.Serving] = e
+		}
+		e.adopt(m)
+		for _, pair := range m.Pairs {
+			p.images[pair.Image] = true
+		}
+	}
 }
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -79,14 +79,26 @@
 		assert.InDelta(t, 1, b.p.Share("new", "heavy", 2, calm("archive"), nil), 0)
 		assert.InDelta(t, 1, b.p.Share("new", "light", 2, calm("ledger"), nil), 0)
 	})
+	// Tasks of images that were thought harmless kept starting beside a tail that
+	// one of them raised, and each worked until the next reading.
+	t.Run("sends nothing where a tail is too high", func(t *testing.T) {
+		hot := []dispatcher.Serving{{Image: "archive", Tail: 1.2, Marked: true}}
+		assert.Zero(t, b.p.Share("new", "light", 2, hot, nil))
+	})
 	t.Run("knows which workers few images may use", func(t *testing.T) {
 		assert.InDelta(t, 0.5, b.p.Burden(calm("ledger")), 0)
 		assert.InDelta(t, 0, b.p.Burden(calm("archive")), 0)
 	})
-	t.Run("names the pairs", func(t *testing.T) {
-		list := b.p.Table()
-		assert.Len(t, list, 1)
-		assert.Equal(t, "heavy", list[0].Image)
+	t.Run("is handed on to the next owner", func(t *testing.T) {
+		next := pacer.New()
+		next.Adopt(b.p.Model())
+		assert.InDelta(t, 0.5, next.Rise("ledger", "heavy"), 0.1)
+		assert.Less(t, next.Share("w", "heavy", 2, calm("ledger"), nil), 0.5)
+		assert.InDelta(t, 1, next.Share("w", "heavy", 2, calm("archive"), nil), 0)
+	})
+	t.Run("is not replaced by what others know less well", func(t *testing.T) {
+		b.p.Adopt([]briarspring.PressModel{{Serving: "ledger", Pairs: []briarspring.PressPair{{Image: "heavy", Rise: 0, Variance: 0.02}}}})
+		assert.InDelta(t, 0.5, b.p.Rise("ledger", "heavy"), 0.1)
 	})
 }
 
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -18,6 +18,7 @@
 	prefixBeat       = "b/"
 	prefixHost       = "h/"
 	prefixRetire     = "q/"
+	prefixModel      = "p/"
 )
 
 // SubmissionKey returns the key of one try to submit a workflow.
@@ -59,3 +60,6 @@
 func RetireKey(dataCentre string, token uint64) string {
 	return prefixRetire + dataCentre + "/" + strconv.FormatUint(token, 10)
 }
+
+// ModelKey returns the key of what a data centre's owner has learned.
+func ModelKey(dataCentre string) string { return prefixModel + dataCentre }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -71,7 +72,8 @@
 	workflows map[briarspring.WorkflowID]*Entry
 	owners    map[string]*owners // By data centre.
 	hosts     map[string]briarspring.HostPresence
-	waiting   map[string]int // By queue.
+	waiting   map[string]int                      // By queue.
+	models    map[string][]briarspring.PressModel // By data centre.
 }
 
 // New returns the state before the first record.
@@ -81,6 +83,7 @@
 		owners:    map[string]*owners{},
 		hosts:     map[string]briarspring.HostPresence{},
 		waiting:   map[string]int{},
+		models:    map[string][]briarspring.PressModel{},
 	}
 }
 
@@ -109,6 +112,15 @@
 // has started.
 func (r *Registry) Waiting(queue string) int { return r.waiting[queue] }
 
+// Models returns what the owners of all data centres have learned last.
+func (r *Registry) Models() []briarspring.PressModel {
+	var all []briarspring.PressModel
+	for _, name := range slices.Sorted(maps.Keys(r.models)) {
+		all = append(all, r.models[name]...)
+	}
+	return all
+}
+
 // Apply applies a record that was read at a time. Records at offsets that were
 // applied before have no effect. Errors are *encoder.MalformedError.
 func (r *Registry) Apply(now time.Duration, rec briarspring.KeyedRecord) (Change, error) {
@@ -179,6 +191,12 @@
 		return Change{}, r.applyHost(now, rest, rec)
 	case prefixRetire:
 		return Change{}, r.applyRetirement(now, rest, rec)
+	case prefixModel:
+		models, err := encoder.DecodePressModels(rec.Value)
+		if err == nil {
+			r.models[rest] = models
+		}
+		return Change{}, err
 	}
 	return Change{}, nil
 }
--- a/steward/commit.go
+++ b/steward/commit.go
@@ -82,6 +82,8 @@
 func (t *term) keepPublishing(ctx context.Context) {
 	beat := time.NewTicker(beatInterval)
 	defer beat.Stop()
+	models := time.NewTicker(modelInterval)
+	defer models.Stop()
 	t.publish(ctx, t.beat())
 	for {
 		var records []briarspring.KeyedRecord
@@ -91,6 +93,8 @@
 		case <-t.phases:
 		case <-beat.C:
 			records = t.beat()
+		case <-models.C:
+			records = t.exchangeModels()
 		}
 		t.mu.Lock()
 		records = append(records, t.engine.TakePhases()...)
@@ -102,6 +106,26 @@
 	}
 }
 
+// exchangeModels takes over what other owners have learned and returns what this
+// one has.
+func (t *term) exchangeModels() []briarspring.KeyedRecord {
+	var others []briarspring.PressModel
+	t.config.Replica.View(func(r *registrar.Registry) { others = r.Models() })
+	t.mu.Lock()
+	t.pacer.Adopt(others)
+	own := t.pacer.Model()
+	t.mu.Unlock()
+	if len(own) == 0 {
+		return nil
+	}
+	value, err := encoder.PressModels(own)
+	if err != nil {
+		t.logger.Error("model can't be encoded", "error", err)
+		return nil
+	}
+	return []briarspring.KeyedRecord{{Key: registrar.ModelKey(t.config.DataCentre), Value: value}}
+}
+
 // publish writes records until they are stored. They are idempotent.
 func (t *term) publish(ctx context.Context, records []briarspring.KeyedRecord) {
 	t.publishTries(ctx, func() []briarspring.KeyedRecord { return records })
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -59,6 +59,13 @@
 	Delay() time.Duration
 }
 
+// Pacer decides how fast work that fills may run, and hands on what it learns.
+type Pacer interface {
+	dispatcher.Pacer
+	Model() []briarspring.PressModel
+	Adopt(models []briarspring.PressModel)
+}
+
 // Config holds the settings of a Steward.
 type Config struct {
 	Host        string
@@ -79,7 +86,7 @@
 	Reading   Freshness // Of the replica.
 	Listing   Freshness // Of the list of workers.
 	Follow    func(on bool)
-	NewPacer  func() dispatcher.Pacer
+	NewPacer  func() Pacer
 	Now       func() time.Duration
 	Logger    hclog.Logger
 }
@@ -90,8 +97,8 @@
 	// decideInterval between two looks at the need of a claim.
 	decideInterval = 50 * time.Millisecond
 	// gapAge of the last read from which the log counts as unreadable for a
-	// while; above the time-out of a read.
-	gapAge = 2500 * time.Millisecond
+	// while; above the wait of a read with a slow answer.
+	gapAge = 1600 * time.Millisecond
 	// maxUnreachable is how long an owner goes on without the log. Outages of up
 	// to 9 s occur; a successor waits as long before it counts on the owner's end.
 	maxUnreachable = 12 * time.Second
--- a/steward/term.go
+++ b/steward/term.go
@@ -48,6 +48,8 @@
 	// entriesReturn is the time within which workers' entries that lapsed during
 	// an outage of the log are back, as the platform states it, with its reading.
 	entriesReturn = 2200 * time.Millisecond
+	// modelInterval between two exchanges of what owners have learned.
+	modelInterval = 2 * time.Second
 	// keepFinal is how long finished workflows stay known; the platform asks for
 	// at least 120 s.
 	keepFinal = 150 * time.Second
@@ -73,6 +75,7 @@
 
 	mu     sync.Mutex
 	engine *dispatcher.Dispatcher
+	pacer  Pacer
 	agents map[string]*agent
 	stored chan struct{} // Closed and replaced when a batch is stored.
 }
@@ -197,9 +200,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.config.Now()
+	t.pacer = t.config.NewPacer()
+	t.config.Replica.View(func(r *registrar.Registry) { t.pacer.Adopt(r.Models()) })
 	t.engine = dispatcher.New(now, dispatcher.Config{
 		DataCentre: t.config.DataCentre, Token: t.claim.Token, Lease: t.config.Lease, MaxLease: t.config.MaxLease,
-		Predecessor: t.claim.Previous != 0, Pacer: t.config.NewPacer(), Logger: t.logger,
+		Predecessor: t.claim.Previous != 0, Pacer: t.pacer, Logger: t.logger,
 	})
 	t.engine.SetOut(now, t.config.Catalogue.Out(t.config.DataCentre))
 	if t.claim.Previous != 0 && t.steward.recentGap(now) {
--- a/stream.go
+++ b/stream.go
@@ -92,3 +92,18 @@
 	Worker    string
 	LeaseLeft time.Duration // After that all its runs have certainly ended.
 }
+
+// PressModel tells how the tails of the tasks of an image follow from what works
+// beside them, as an owner has learned it.
+type PressModel struct {
+	Serving  string
+	Constant float64 // Share of the target without anything beside.
+	Pairs    []PressPair
+}
+
+// PressPair is the rise that an image causes.
+type PressPair struct {
+	Image    string
+	Rise     float64 // Share of the target for each core in use.
+	Variance float64
+}
