The directory is read again soon after a cut ends

It waits for 1 s and times out after 2.2 s now. Entries of workers get 3 s to come back after an outage before a new owner counts the list as whole.

--- a/assembler/host.go
+++ b/assembler/host.go
@@ -59,8 +59,9 @@
 	// followerInterval is the same for other hosts, which only tell how far
 	// workflows have come.
 	followerInterval = 200 * time.Millisecond
-	// directoryWait of a read for the operators' next change.
-	directoryWait = 2 * time.Second
+	// directoryWait of a read for the operators' next change. With its time-out it
+	// stays below the 3 s after which a host that was cut off counts as in touch.
+	directoryWait = time.Second
 	// workersInterval is the least time between two reads of the list of
 	// workers; entries change every 1.5 s.
 	workersInterval = 250 * time.Millisecond
--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -60,12 +61,17 @@
 // testDecoder reads the records that the tests write.
 type testDecoder struct{}
 
-// Directory returns the only queue.
+// Directory returns the usual queue, and from version 2 on another one.
 func (testDecoder) Directory(r briarspring.KeyedRecord) (briarspring.Directory, bool, error) {
 	if r.Key != "directory" {
 		return briarspring.Directory{}, false, nil
 	}
-	return briarspring.Directory{Version: 1, Queues: []briarspring.Queue{testQueue}}, true, nil
+	version, err := strconv.ParseUint(string(r.Value), 10, 64)
+	d := briarspring.Directory{Version: version, Queues: []briarspring.Queue{testQueue}}
+	if version > 1 {
+		d.Queues = append(d.Queues, briarspring.Queue{Name: "added", Host: testQueue.Host, Prefix: "/added/", Service: "ledger"})
+	}
+	return d, true, err
 }
 
 // OutOfService returns the data centre of a key such as "out/tartu".
--- a/assembler/path_test.go
+++ b/assembler/path_test.go
@@ -191,3 +191,21 @@
 		assertNothingBroken(t, f)
 	}, tartu, viljandi)
 }
+
+// A host whose call was on its way when its link came back waits for nothing
+// until the call's time is over.
+func TestDirectoryAfterACut(t *testing.T) {
+	const inTouch = 3 * time.Second // After the end of a cut, as the platform states it.
+	for phase := time.Duration(0); phase < 4*time.Second; phase += 250 * time.Millisecond {
+		inVirtualTime(t, phase.String(), func(t *testing.T, f *fleet) {
+			h := f.host(tartu, 0)
+			f.cutOff(h, true, true, true)
+			time.Sleep(4*time.Second + phase)
+			f.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "directory", Value: []byte("2")})
+			f.cutOff(h, true, true, false)
+			time.Sleep(inTouch)
+			_, _, err := h.intake.Find(testQueue.Host, "/added/")
+			assert.NoError(t, err)
+		}, tartu)
+	}
+}
--- a/steward/term.go
+++ b/steward/term.go
@@ -47,7 +47,7 @@
 	setupPause = 50 * time.Millisecond
 	// entriesReturn is the time within which workers' entries that lapsed during
 	// an outage of the log are back, as the platform states it, with its reading.
-	entriesReturn = 2200 * time.Millisecond
+	entriesReturn = 3 * time.Second
 	// modelInterval between two exchanges of what owners have learned.
 	modelInterval = 2 * time.Second
 	// keepFinal is how long finished workflows stay known; the platform asks for
