--- a/assembler/host.go
+++ b/assembler/host.go
@@ -32,6 +32,7 @@
 	MilliCPU    int // Thousandths of a core.
 	MaxLease    time.Duration
 	StopTime    time.Duration // For finishing what is in flight.
+	KeepFinal   time.Duration // Least time for which finished workflows stay known.
 	FrontAddr   string
 	ReadyAddr   string
 	MetricsAddr string // Empty for none.
@@ -68,6 +69,9 @@
 	// usualLease of workers. A successor of a lost owner renews it after about
 	// 3 s, and lasting tasks of a lost worker start elsewhere when it has ended.
 	usualLease = 5500 * time.Millisecond
+	// keepMargin is added to the time for which finished workflows stay known, for
+	// hosts that read of the end later.
+	keepMargin = 30 * time.Second
 	// presenceTimeout of one try to announce the process.
 	presenceTimeout = 2 * time.Second
 )
@@ -120,7 +124,7 @@
 	for _, name := range c.DataCentres {
 		stewards[name] = steward.New(steward.Config{
 			Host: c.Host, HostCentre: c.DataCentre, DataCentre: name, DataCentres: c.DataCentres, Incarnation: incarnation, MilliCPU: c.MilliCPU,
-			Lease: min(usualLease, c.MaxLease), MaxLease: c.MaxLease,
+			Lease: min(usualLease, c.MaxLease), MaxLease: c.MaxLease, KeepFinal: c.KeepFinal + keepMargin,
 			Store: c.Store, Shared: shared, Workers: c.Workers, List: list, Catalogue: catalogue, Replica: replica,
 			Reading: reading, Listing: listing, NewPacer: func() steward.Pacer { return pacer.New() }, Now: c.Now, Logger: logger,
 			Follow: func(on bool) {
--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -200,7 +200,8 @@
 	var l *launcher.Launcher
 	l, h.intake = assembler.NewCore(assembler.HostConfig{
 		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: 160, MaxLease: 6 * time.Second, StopTime: 3 * time.Second,
-		Store: f.store.For(h.caller), Workers: f.pool.For(h.caller), Decoder: testDecoder{},
+		KeepFinal: 120 * time.Second,
+		Store:     f.store.For(h.caller), Workers: f.pool.For(h.caller), Decoder: testDecoder{},
 		Now: func() time.Duration { return time.Since(f.began) }, Logger: f.logger(h),
 	})
 	f.hosts[name] = h
--- a/cmd/briarspring/host.go
+++ b/cmd/briarspring/host.go
@@ -64,7 +64,7 @@
 func (c *hostCmd) hostConfig(s platform.Settings, logger hclog.Logger, logs launcher.Part) assembler.HostConfig {
 	return assembler.HostConfig{
 		Host: s.Host, DataCentre: s.DataCentre, DataCentres: s.DataCentres, MilliCPU: s.MilliCPU,
-		MaxLease: s.MaxLease, StopTime: s.StopGrace - exitTime, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr,
+		MaxLease: s.MaxLease, StopTime: s.StopGrace - exitTime, KeepFinal: s.KeepFinal, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr,
 		MetricsAddr: c.metricsAddr(s),
 		Store:       platform.NewStore(platform.StoreConfig{Address: s.StoreAddr, WriteRate: s.WriteRate, ReadRate: s.ReadRate}),
 		Workers:     platform.NewWorkers(),
--- a/steward/commit.go
+++ b/steward/commit.go
@@ -159,7 +159,7 @@
 	}
 	records := []briarspring.KeyedRecord{{Key: registrar.BeatKey(t.config.DataCentre), Value: value}}
 	t.config.Replica.View(func(r *registrar.Registry) {
-		for _, key := range r.Expired(t.config.Now(), keepFinal, t.config.DataCentre, expireLimit) {
+		for _, key := range r.Expired(t.config.Now(), t.config.KeepFinal, t.config.DataCentre, expireLimit) {
 			records = append(records, briarspring.KeyedRecord{Key: key})
 		}
 	})
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -76,6 +76,7 @@
 	MilliCPU    int // Processors of the host, in thousandths of a core.
 	Lease       time.Duration
 	MaxLease    time.Duration // Longest lease that a worker grants.
+	KeepFinal   time.Duration // For which finished workflows stay known.
 
 	Store     Store
 	Shared    Writer
--- a/steward/term.go
+++ b/steward/term.go
@@ -50,9 +50,6 @@
 	entriesReturn = 3 * time.Second
 	// modelInterval between two exchanges of what owners have learned.
 	modelInterval = 2 * time.Second
-	// keepFinal is how long finished workflows stay known; the platform asks for
-	// at least 120 s.
-	keepFinal = 150 * time.Second
 	// expireLimit bounds the finished workflows that one beat drops.
 	expireLimit = 20
 )
@@ -232,7 +229,7 @@
 		if e.Phase().Final() && len(progress) == 0 {
 			return
 		}
-		age := max(0, min(time.Since(w.Submitted), keepFinal))
+		age := max(0, min(time.Since(w.Submitted), t.config.KeepFinal))
 		t.engine.Submit(now, age, w, e.Offset(), t.withMoved(e, progress))
 	}
 	if len(e.Moved()) > 0 {
