A new owner counts the return of workers' entries from when the log was readable

Cause: TestTakeover 'the owner is killed' failed after the wait had been raised to 3 s: it was counted from the takeover, not from the return of the log, so hosts that all began anew waited that much longer.

--- a/steward/term.go
+++ b/steward/term.go
@@ -47,7 +47,7 @@
 	setupPause = 50 * time.Millisecond
 	// entriesReturn is the time within which workers' entries that lapsed during
 	// an outage of the log are back, as the platform states it, with its reading.
-	entriesReturn = 3 * time.Second
+	entriesReturn = 2400 * time.Millisecond
 	// modelInterval between two exchanges of what owners have learned.
 	modelInterval = 2 * time.Second
 	// expireLimit bounds the finished workflows that one beat drops.
@@ -204,19 +204,19 @@
 		Predecessor: t.claim.Previous != 0, Pacer: t.pacer, Logger: t.logger,
 	})
 	t.engine.SetOut(now, t.config.Catalogue.Out(t.config.DataCentre))
-	if t.claim.Previous != 0 && t.steward.recentGap(now) {
-		t.engine.HoldStarts(now + entriesReturn)
+	if t.claim.Previous != 0 {
+		t.engine.HoldStarts(t.steward.readableSince() + entriesReturn)
 	}
 	t.config.Replica.View(func(r *registrar.Registry) {
 		r.Workflows(func(e *registrar.Entry) { t.takeWorkflow(now, e, progress[e.Workflow().ID]) })
 	})
 }
 
-// recentGap reports whether the log could not be read just before.
-func (s *Steward) recentGap(now time.Duration) bool {
+// readableSince returns since when the log was read without a gap.
+func (s *Steward) readableSince() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now-s.readSince < entriesReturn
+	return s.readSince
 }
 
 // takeWorkflow tells the dispatcher what the shared state says of a workflow.
