Retirements count also when every worker answered; local hosts claim first after a restart

Hosts of other data centres also claimed one at once when its owner's process had begun a new life, before its own hosts could.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -63,7 +63,8 @@
 	if s.Weak {
 		delay += spread
 	}
-	vacant := s.Token == 0 || s.Owner == "" || s.Restarted
+	// Hosts of the data centre come first after a restart, too.
+	vacant := s.Token == 0 || s.Owner == "" || s.Restarted && s.Local
 	if vacant {
 		return vacantClaim(s)
 	}
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -62,6 +62,8 @@
 		s := healthy(60 * second)
 		s.Restarted = true
 		assertClaims(t, true, s)
+		s.Local = false
+		assertClaims(t, false, s)
 	})
 	t.Run("when a host of another data centre is the owner", func(t *testing.T) {
 		s := healthy(60 * second)
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -223,7 +223,7 @@
 
 // Retirement returns the bytes of an owner's last word.
 func Retirement(r briarspring.Retirement) ([]byte, error) {
-	m := &pb.Retirement{}
+	m := &pb.Retirement{Token: r.Token}
 	for _, w := range r.Silent {
 		m.Silent = append(m.Silent, &pb.SilentWorker{Worker: w.Worker, LeaseLeftMs: w.LeaseLeft.Milliseconds()})
 	}
@@ -236,7 +236,7 @@
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return briarspring.Retirement{}, &MalformedError{What: "retirement", Cause: err}
 	}
-	var r briarspring.Retirement
+	r := briarspring.Retirement{Token: m.Token}
 	for _, w := range m.Silent {
 		r.Silent = append(r.Silent, briarspring.SilentWorker{
 			Worker: w.Worker, LeaseLeft: time.Duration(w.LeaseLeftMs) * time.Millisecond,
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -164,7 +164,7 @@
 func TestEarlierOwners(t *testing.T) {
 	const unreachable = 12 * time.Second
 	retire := func(s *stream, token uint64, silent ...briarspring.SilentWorker) {
-		value, err := encoder.Retirement(briarspring.Retirement{Silent: silent})
+		value, err := encoder.Retirement(briarspring.Retirement{Token: token, Silent: silent})
 		s.add(registrar.RetireKey("tartu", token), value, err)
 	}
 	t.Run("may live on until the longest time without the log is over", func(t *testing.T) {
@@ -188,6 +188,18 @@
 			assert.Equal(t, time.Second, at)
 		})
 	})
+	// The record of an owner that met no silent worker was empty, and an empty
+	// record drops its key.
+	t.Run("retire also when every worker answered", func(t *testing.T) {
+		s := &stream{t: t}
+		token := s.claim("host-1", 0)
+		s.claim("host-2", token)
+		retire(s, token)
+		assertBoth(t, s, func(t *testing.T, r *registrar.Registry) {
+			_, gone := r.EarlierGone(2*time.Second, unreachable, "tartu")
+			assert.True(t, gone)
+		})
+	})
 	t.Run("tell when they retire which workers did not answer", func(t *testing.T) {
 		s := &stream{t: t}
 		token := s.claim("host-1", 0)
--- a/steward/term.go
+++ b/steward/term.go
@@ -122,7 +122,7 @@
 
 // retirement returns the record that this term gives no more orders.
 func (t *term) retirement() (briarspring.KeyedRecord, error) {
-	var m briarspring.Retirement
+	m := briarspring.Retirement{Token: t.claim.Token}
 	t.mu.Lock()
 	if t.engine != nil {
 		m.Silent = t.engine.Silent(t.config.Now())
--- a/stream.go
+++ b/stream.go
@@ -84,6 +84,7 @@
 
 // Retirement is an owner's last word: it gives no more orders.
 type Retirement struct {
+	Token  uint64 // Of the claim that is over.
 	Silent []SilentWorker
 }
 
