The adapter alone knows where the platform names its settings file

Cause: cmd/briarspring named the platform's environment variable in a flag's tag. Ruled out: handing the name to the flags as a variable, which would still have spread it. The command asks platform.SettingsPath; an argument goes first.

--- a/cmd/briarspring/host.go
+++ b/cmd/briarspring/host.go
@@ -22,7 +22,7 @@
 )
 
 type hostCmd struct {
-	Settings string `arg:"" optional:"" env:"BRIARSPRING_BOOT" help:"Settings file of the platform."`
+	Settings string `arg:"" optional:"" help:"Settings file; the one that the platform names by default."`
 	Metrics  int    `default:"9464" help:"Port of the metrics, at the address of the front; 0 for none."`
 	Level    string `default:"info" enum:"trace,debug,info,warn,error" help:"Least level of log lines."`
 }
@@ -39,7 +39,11 @@
 
 // Run runs a host until SIGTERM or SIGINT.
 func (c *hostCmd) Run() error {
-	settings, err := platform.LoadSettings(c.Settings)
+	path, err := platform.SettingsPath(c.Settings)
+	if err != nil {
+		return err
+	}
+	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -56,7 +60,7 @@
 	logger.Info("starts", "host", settings.Host, "data-centre", settings.DataCentre, "store", settings.StoreAddr, "milli-cpu", settings.MilliCPU)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	c.watchReload(ctx, logger)
+	watchReload(ctx, path, logger)
 	l.Run(ctx)
 	return nil
 }
@@ -88,7 +92,7 @@
 
 // watchReload checks the settings file when it has changed. Every setting that
 // a host uses is bound to its life, so changes take effect with the next one.
-func (c *hostCmd) watchReload(ctx context.Context, logger hclog.Logger) {
+func watchReload(ctx context.Context, path string, logger hclog.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
@@ -98,7 +102,7 @@
 				return
 			case <-hup:
 			}
-			if _, err := platform.LoadSettings(c.Settings); err != nil {
+			if _, err := platform.LoadSettings(path); err != nil {
 				logger.Error("changed settings are not used", "error", err)
 				continue
 			}
