One planned stop of a server, one context for parts that give up

Cause: assembler/host.go and steward/steward.go had written again what assembler/gateway.go does when it stops; the host's copy dropped the error of a stop that cut requests off. Ruled out: a part type of its own for both servers; they differ in all but the stop. The wait for a channel to close became launcher.GiveUpContext, beside the interface that hands the channel out.

--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -20,6 +20,7 @@
 	"briarspring/monitor"
 	"briarspring/relayer"
 	"briarspring/router"
+	"briarspring/sleeper"
 )
 
 // NewGateway returns the parts of a gateway's process.
@@ -127,26 +128,21 @@
 func (p *callersPart) Stop(giveUp <-chan struct{}) {
 	p.admin.Drain()
 	p.forwarder.Drain()
-	t := time.NewTimer(p.notice)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-giveUp:
-	}
-	ctx, cancel := context.WithCancel(context.Background())
+	stopServer(p.server, p.notice, giveUp, p.logger)
+}
+
+// stopServer goes on serving until the balancer has noticed that the host is not
+// ready, and then lets the requests in flight finish.
+func stopServer(server *http.Server, notice time.Duration, giveUp <-chan struct{}, logger hclog.Logger) {
+	ctx, cancel := launcher.GiveUpContext(giveUp)
 	defer cancel()
-	go func() {
-		select {
-		case <-giveUp:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	if err := p.server.Shutdown(ctx); err != nil {
-		p.logger.Error("requests were cut off by the stop", "error", err)
+	// A stop that is given up during the notice ends with the shutdown below.
+	_ = sleeper.For(ctx, notice)
+	if err := server.Shutdown(ctx); err != nil {
+		logger.Error("requests were cut off by the stop", "error", err)
 		return
 	}
-	p.logger.Info("all requests in flight have finished")
+	logger.Info("all requests in flight have finished")
 }
 
 // feedPart keeps the forwarder's state up to date from any scheduler of the
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -144,7 +144,7 @@
 
 // addFront adds the servers for callers and for the balancer.
 func addFront(l *launcher.Launcher, c HostConfig, intake *admitter.Admitter) error {
-	front, err := newFrontPart(c.FrontAddr, c.Front(intake))
+	front, err := newFrontPart(c.FrontAddr, c.Front(intake), c.Logger)
 	if err != nil {
 		return err
 	}
@@ -199,6 +199,7 @@
 	listener net.Listener
 	server   *http.Server
 	stopping atomic.Bool
+	logger   hclog.Logger
 	done     chan struct{}
 }
 
@@ -212,12 +213,12 @@
 	maxCallerHeader = 16 << 10
 )
 
-func newFrontPart(address string, h http.Handler) (*frontPart, error) {
+func newFrontPart(address string, h http.Handler, logger hclog.Logger) (*frontPart, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &frontPart{listener: listener, done: make(chan struct{}), server: &http.Server{
+	return &frontPart{listener: listener, logger: logger, done: make(chan struct{}), server: &http.Server{
 		Handler: h, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle, MaxHeaderBytes: maxCallerHeader,
 	}}, nil
 }
@@ -242,20 +243,5 @@
 // finishes the requests in flight.
 func (p *frontPart) Stop(giveUp <-chan struct{}) {
 	p.stopping.Store(true)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		select {
-		case <-giveUp:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	notice := time.NewTimer(noticeTime)
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-giveUp:
-	}
-	p.server.Shutdown(ctx) //nolint:errcheck // What is still open then is closed with the process.
+	stopServer(p.server, noticeTime, giveUp, p.logger)
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -25,6 +25,19 @@
 	Stop(giveUp <-chan struct{})
 }
 
+// GiveUpContext returns a context that ends when a stopping part has to give up.
+func GiveUpContext(giveUp <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		select {
+		case <-giveUp:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // MissingPartError tells that a part asked for one that does not exist or is
 // of another kind.
 type MissingPartError struct {
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -70,3 +70,12 @@
 	var missing *launcher.MissingPartError
 	assert.ErrorAs(t, err, &missing)
 }
+
+func TestGiveUpContext(t *testing.T) {
+	giveUp := make(chan struct{})
+	ctx, cancel := launcher.GiveUpContext(giveUp)
+	defer cancel()
+	require.NoError(t, ctx.Err())
+	close(giveUp)
+	<-ctx.Done()
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -14,6 +14,7 @@
 	"briarspring/claimer"
 	"briarspring/dispatcher"
 	"briarspring/encoder"
+	"briarspring/launcher"
 	"briarspring/registrar"
 	"briarspring/replicator"
 	"briarspring/sleeper"
@@ -327,15 +328,8 @@
 	case <-giveUp:
 		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := launcher.GiveUpContext(giveUp)
 	defer cancel()
-	go func() {
-		select {
-		case <-giveUp:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	retirement, err := t.retirement()
 	if err != nil {
 		s.logger.Error("retirement can't be encoded", "error", err)
