--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -9,6 +9,7 @@
 	"briarspring"
 	"briarspring/admitter"
 	"briarspring/counter"
+	"briarspring/dispatcher"
 	"briarspring/launcher"
 	"briarspring/monitor"
 	"briarspring/steward"
@@ -87,11 +88,19 @@
 	m.Publish("owner-of", expvar.Func(func() any {
 		owned := map[string]any{}
 		for name, s := range stewards {
-			if counters, ok := s.Counters(); ok {
-				owned[name] = counters
+			if c, ok := s.Counters(); ok {
+				owned[name] = countersOf(c)
 			}
 		}
 		return owned
 	}))
 	l.Add("metrics", m)
 }
+
+// countersOf names what an owner did.
+func countersOf(c dispatcher.Counters) map[string]uint64 {
+	return map[string]uint64{
+		"starts": c.Starts, "done": c.Done, "failed": c.Failed, "lost": c.Lost, "stops": c.Stops,
+		"paces": c.Paces, "doubts": c.Doubts, "completed": c.Completed,
+	}
+}
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -29,6 +29,8 @@
 	// returnAfter is how long a host must have read the log without a gap before
 	// it takes its data centre back from another one's host.
 	returnAfter = 2500 * time.Millisecond
+	// shares is the number of different delays that names of hosts give.
+	shares = 16
 	// maxReadAge of the state on which a claim may be based.
 	maxReadAge = 400 * time.Millisecond
 )
@@ -105,5 +107,5 @@
 func share(host string, d time.Duration) time.Duration {
 	h := fnv.New32a()
 	h.Write([]byte(host))
-	return d * time.Duration(h.Sum32()%16) / 16
+	return d * time.Duration(h.Sum32()%shares) / shares
 }
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -18,7 +18,7 @@
 
 // Load returns the declared work that waits and the state of the processors.
 func (d *Dispatcher) Load() briarspring.OwnerBeat {
-	b := briarspring.OwnerBeat{Token: d.config.Token, Accepts: !d.out, Rooms: map[string]int64{}}
+	b := briarspring.OwnerBeat{Token: d.config.Token, Rooms: map[string]int64{}}
 	waiting := d.waitingByImage()
 	for _, w := range d.order {
 		if !w.usable(d.now) {
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -82,7 +82,7 @@
 		task: t, worker: w, state: runOrdered, since: d.now,
 		until: w.clockNow(d.now) + startWindow, pace: fullSpeed, paceSent: fullSpeed,
 	}
-	if !w.trusted(d.now) || w.streak >= failStreak {
+	if w.streak >= failStreak {
 		w.probing = r
 	}
 	waited := d.now - t.readySince
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -21,6 +21,9 @@
 	// estimateRate is the share of an error that one run corrects in the learned
 	// ratio of run time to estimate.
 	estimateRate = 0.05
+	// maxRatio of run time to estimate that one run counts for, so that a run on a
+	// standing worker does not outweigh hundreds.
+	maxRatio = 10
 )
 
 // averages holds the learned ratio of run time to declared time by queue.
@@ -37,7 +40,7 @@
 	if !ok {
 		ratio = 1
 	}
-	measured := min(float64(d.now-r.since)/float64(estimate), 10)
+	measured := min(float64(d.now-r.since)/float64(estimate), maxRatio)
 	d.averages[queue] = ratio + estimateRate*(measured-ratio)
 }
 
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -127,7 +127,7 @@
 // OwnerBeat returns the bytes of an owner's sign of life.
 func OwnerBeat(b briarspring.OwnerBeat) ([]byte, error) {
 	m := &pb.OwnerBeat{
-		Token: b.Token, BacklogMilliCpuSeconds: b.Backlog, FreeMilliCpu: b.Free, TotalMilliCpu: b.Total, Accepts: b.Accepts,
+		Token: b.Token, BacklogMilliCpuSeconds: b.Backlog, FreeMilliCpu: b.Free, TotalMilliCpu: b.Total,
 		LargestMilliCpu: b.Largest,
 	}
 	for _, image := range slices.Sorted(maps.Keys(b.Rooms)) {
@@ -143,7 +143,7 @@
 		return briarspring.OwnerBeat{}, &MalformedError{What: "beat", Cause: err}
 	}
 	b := briarspring.OwnerBeat{
-		Token: m.Token, Backlog: m.BacklogMilliCpuSeconds, Free: m.FreeMilliCpu, Total: m.TotalMilliCpu, Accepts: m.Accepts,
+		Token: m.Token, Backlog: m.BacklogMilliCpuSeconds, Free: m.FreeMilliCpu, Total: m.TotalMilliCpu,
 		Largest: m.LargestMilliCpu, Rooms: map[string]int64{},
 	}
 	for _, r := range m.Rooms {
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -15,8 +15,12 @@
 	"time"
 )
 
-// maxLine bounds a log line.
-const maxLine = 1 << 20
+const (
+	// usualLine is the room for a log line at first, in bytes.
+	usualLine = 64 << 10
+	// maxLine bounds a log line, in bytes.
+	maxLine = 1 << 20
+)
 
 // Line is a log line about a request.
 type Line struct {
@@ -40,7 +44,7 @@
 // brace of a line, such as a collector's own time, is skipped.
 func Read(from io.Reader, id string) ([]Line, error) {
 	scanner := bufio.NewScanner(from)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
+	scanner.Buffer(make([]byte, 0, usualLine), maxLine)
 	var lines []Line
 	for scanner.Scan() {
 		text := scanner.Bytes()
@@ -50,6 +54,7 @@
 		}
 		var fields map[string]any
 		if json.Unmarshal(text[start:], &fields) != nil {
+			// A line of another program, or one that was cut when its host died.
 			continue
 		}
 		lines = append(lines, lineOf(fields))
--- a/imitator/keyed.go
+++ b/imitator/keyed.go
@@ -135,6 +135,12 @@
 	return nil
 }
 
+// A late append is done 1 to 6 s after it was sent, as on the platform.
+const (
+	lateAppendAfter  = time.Second
+	lateAppendSpread = 5 * time.Second
+)
+
 // Append adds records to a stream.
 func (c *KeyedClient) Append(ctx context.Context, stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (uint64, error) {
 	if err := c.arrive(ctx, "append"); err != nil {
@@ -144,7 +150,7 @@
 	s.mu.Lock()
 	lost := s.random.Float64() < s.faults.LoseShare
 	late := lost && s.random.Float64() < s.faults.LateShare
-	delay := time.Duration(1000+s.random.IntN(5000)) * time.Millisecond
+	delay := lateAppendAfter + time.Duration(s.random.Int64N(int64(lateAppendSpread)))
 	s.mu.Unlock()
 	if late {
 		go func() {
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -236,6 +236,12 @@
 	return w, nil
 }
 
+// A late order is carried out 2 to 12 s after it was sent, as on the platform.
+const (
+	lateOrderAfter  = 2 * time.Second
+	lateOrderSpread = 10 * time.Second
+)
+
 // deliver carries an order out, now or seconds later without an answer.
 func (c *PoolClient) deliver(ctx context.Context, id string, order func(*poolWorker) error) error {
 	w, err := c.reach(ctx, id)
@@ -245,7 +251,7 @@
 	p := c.pool
 	p.mu.Lock()
 	late := p.random.Float64() < p.loose
-	delay := time.Duration(2000+p.random.IntN(10000)) * time.Millisecond
+	delay := lateOrderAfter + time.Duration(p.random.Int64N(int64(lateOrderSpread)))
 	life := w.life
 	if !late {
 		defer p.mu.Unlock()
--- a/stream.go
+++ b/stream.go
@@ -53,7 +53,6 @@
 	Free    int64            // Thousandths of a core that are not reserved.
 	Largest int64            // The same of the worker with most of them.
 	Total   int64            // Thousandths of a core of all usable workers.
-	Accepts bool             // False while the data centre is out of service.
 	Rooms   map[string]int64 // By image: idle thousandths of a core that its tasks could use, less what waits for them.
 }
 
