Workers that left long ago are forgotten; usual terms in comments and logs

Cause: an owner kept every worker that it had ever seen, and the pacer its readings; with hosts replaced all the time both grow without end. Comments and two log lines of the change spoke of words, truth and obeying where the field says report, authoritative and accepted token. Ruled out: dropping a worker as soon as it leaves the list. Entries lapse in outages and come back, and a worker's numbered ends may be taken in once only; it stays known for 5 minutes and while a run of it may be alive. TestReplacedWorkers fails without it, go test ./dispatcher ./pacer passes with it.

--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -238,7 +238,7 @@
 	}
 }
 
-// kill ends a host's life without a word, and begins a new one later.
+// kill ends a host's process without a planned stop and starts a new one later.
 func (f *fleet) kill(h *testHost, down time.Duration) {
 	f.cutOff(h, true, true, true)
 	h.cancel()
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -18,7 +18,7 @@
 	// beatCalls is how many calls to the log a beat may be late for.
 	beatCalls = 4
 	// remoteSilence lets hosts of other data centres claim, after all local ones
-	// had their turn and before leases of 5 s lapse.
+	// could claim and before leases of 5 s lapse.
 	remoteSilence = 3600 * time.Millisecond
 	// spread of claims over hosts, so that few claim at once.
 	spread = 600 * time.Millisecond
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,7 +5,7 @@
 //
 // The workers are the authority on what runs. The progress stream only keeps
 // ends, so that they are not lost with a worker; a new owner fences every
-// worker with its token, and takes what it reports as the truth.
+// worker with its token, and takes its report as authoritative.
 package dispatcher
 
 import (
@@ -39,6 +39,8 @@
 	Share(worker, image string, cores float64, serving []Serving, filling []Filling) float64
 	// Presses reports whether an image presses any of the tasks that serve.
 	Presses(image string, serving []Serving) bool
+	// Forget drops what is remembered of a worker.
+	Forget(worker string)
 	// Burden returns the share of all images that press tasks that serve.
 	Burden(serving []Serving) float64
 }
@@ -126,7 +128,7 @@
 	}
 }
 
-// Superseded reports whether a worker obeys a newer owner.
+// Superseded reports whether a worker has accepted a newer owner's token.
 func (d *Dispatcher) Superseded() bool { return d.superseded }
 
 // Counters returns what the dispatcher did so far.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -401,6 +401,7 @@
 }
 
 func (stubPacer) Presses(string, []dispatcher.Serving) bool { return true }
+func (stubPacer) Forget(string)                             {}
 func (stubPacer) Burden([]dispatcher.Serving) float64       { return 0 }
 
 func TestFilling(t *testing.T) {
@@ -443,3 +444,22 @@
 		assert.Equal(t, briarspring.WorkflowID("b"), list["w0"][0].Task.Workflow)
 	})
 }
+
+func TestReplacedWorkers(t *testing.T) {
+	s := newSite(t, dispatcher.Config{Token: 1}, 2)
+	s.d.Submit(s.now, 0, workflow("a", step(2, 5000)), 5, nil)
+	require.Len(t, starts(s.plan()), 2)
+	left := []briarspring.WorkerEntry{s.workers["w1"].entry}
+	s.d.SetWorkers(s.now, left)
+	s.now += 6 * time.Minute
+	s.d.SetWorkers(s.now, left)
+	_, known := s.d.Hold(s.now, "w0")
+	assert.True(t, known, "a worker with a run that may be alive stays known")
+	s.now += 30 * time.Second // The lease that was just renewed ends.
+	s.d.Plan(s.now)
+	s.d.SetWorkers(s.now, left)
+	_, known = s.d.Hold(s.now, "w0")
+	assert.False(t, known, "a worker that left long ago and holds nothing is forgotten")
+	_, known = s.d.Hold(s.now, "w1")
+	assert.True(t, known)
+}
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -267,7 +267,7 @@
 }
 
 // missing looks at the runs that a worker's list leaves out. One whose start
-// was answered before the list was asked for has ended without a word: the
+// was answered before the list was asked for has ended without a report: the
 // worker crashed, or forgot the end.
 func (d *Dispatcher) missing(w *worker, sent time.Duration, listed map[briarspring.RunRef]bool) {
 	for ref, r := range w.runs {
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -11,7 +11,7 @@
 func (d *Dispatcher) Answered(now time.Duration, o Order, v briarspring.Verdict) {
 	d.now = now
 	if v == briarspring.VerdictSuperseded {
-		d.logger.Warn("worker obeys a newer owner", "worker", o.Worker, "token", d.config.Token)
+		d.logger.Warn("worker accepted a newer token", "worker", o.Worker, "token", d.config.Token)
 		d.superseded = true
 		return
 	}
--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -7,7 +7,7 @@
 )
 
 // starveTime that a workflow of which nothing runs waits for a worker that its
-// image does not press, before one of its tasks starts where it does least harm.
+// image does not press, before one of its tasks starts where it slows others least.
 const starveTime = 1200 * time.Millisecond
 
 // makeRoom stops tasks that fill where a task whose processors are reserved
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -36,7 +36,8 @@
 	id     string
 	entry  briarspring.WorkerEntry
 	listed bool
-	early  bool // Known when the claim came into force, so that a predecessor may have used it.
+	goneAt time.Duration // When it left the list; zero for never.
+	early  bool          // Known when the claim came into force, so that a predecessor may have used it.
 
 	fenced     bool // Has answered under this owner's token in its present life.
 	born       int64
@@ -92,11 +93,33 @@
 	for _, w := range d.order {
 		if w.listed && !present[w.id] {
 			w.listed = false
+			w.goneAt = now
 			d.changed = true
 			d.logger.Info("worker left the list", "worker", w.id, "runs", len(w.runs))
 		}
 	}
 	d.listed = true
+	d.forgetWorkers()
+}
+
+// keepGone is how long a worker stays known that has left the list: entries that
+// lapse during an outage of the log are back within seconds, and what a worker
+// tells of its ends must be taken in once only.
+const keepGone = 5 * time.Minute
+
+// forgetWorkers drops workers that left the list long ago and hold nothing. It
+// keeps memory bounded while hosts are replaced all the time.
+func (d *Dispatcher) forgetWorkers() {
+	d.order = slices.DeleteFunc(d.order, func(w *worker) bool {
+		if w.listed || len(w.runs) > 0 || len(w.orphans) > 0 || w.goneAt == 0 || d.now-w.goneAt < keepGone {
+			return false
+		}
+		delete(d.workers, w.id)
+		if d.config.Pacer != nil {
+			d.config.Pacer.Forget(w.id)
+		}
+		return true
+	})
 }
 
 func (d *Dispatcher) setWorker(e briarspring.WorkerEntry) {
@@ -109,6 +132,7 @@
 		d.logger.Info("worker's state changed", "worker", e.ID, "draining", e.Draining, "remaining-ms", e.Remaining.Milliseconds())
 	}
 	w.listed = true
+	w.goneAt = 0
 	w.entry = e
 }
 
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -221,7 +221,7 @@
 	return tasks, nil
 }
 
-// Retirement returns the bytes of an owner's last word.
+// Retirement returns the bytes of an owner's retirement.
 func Retirement(r briarspring.Retirement) ([]byte, error) {
 	m := &pb.Retirement{Token: r.Token}
 	for _, w := range r.Silent {
@@ -230,7 +230,7 @@
 	return proto.Marshal(m)
 }
 
-// DecodeRetirement returns an owner's last word, or a *MalformedError.
+// DecodeRetirement returns an owner's retirement, or a *MalformedError.
 func DecodeRetirement(data []byte) (briarspring.Retirement, error) {
 	var m pb.Retirement
 	if err := proto.Unmarshal(data, &m); err != nil {
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -160,6 +160,9 @@
 	return 0
 }
 
+// Forget drops what is remembered of a worker.
+func (p *Pacer) Forget(worker string) { delete(p.workers, worker) }
+
 // Decide takes a reading of a worker and returns the changes of pace.
 func (p *Pacer) Decide(now time.Duration, worker string, serving []dispatcher.Serving, filling []dispatcher.Filling) []dispatcher.Pace {
 	w := p.workers[worker]
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -56,7 +56,7 @@
 // HostKey returns the key of a host's presence.
 func HostKey(host string) string { return prefixHost + host }
 
-// RetireKey returns the key of an owner's last word under a token.
+// RetireKey returns the key of the retirement of the owner under a token.
 func RetireKey(dataCentre string, token uint64) string {
 	return prefixRetire + dataCentre + "/" + strconv.FormatUint(token, 10)
 }
--- a/steward/term.go
+++ b/steward/term.go
@@ -263,7 +263,7 @@
 }
 
 // withMoved adds what transferred tasks brought along. A task may have run here
-// before it left, or after it came back, so the word with the higher run counts.
+// before it left, or after it came back, so the record with the higher run number counts.
 func (t *term) withMoved(e *registrar.Entry, progress []briarspring.TaskProgress) []briarspring.TaskProgress {
 	known := map[int]int{}
 	for i, p := range progress {
@@ -326,7 +326,7 @@
 	superseded := t.engine.Superseded()
 	t.mu.Unlock()
 	if superseded {
-		t.logger.Warn("workers obey a newer owner")
+		t.logger.Warn("workers accepted a newer token")
 		return true
 	}
 	fresh, ok := t.config.Reading.Fresh()
--- a/stream.go
+++ b/stream.go
@@ -81,7 +81,7 @@
 	Tasks []TaskProgress
 }
 
-// Retirement is an owner's last word: it gives no more orders.
+// Retirement records that an owner gives no more orders.
 type Retirement struct {
 	Token  uint64 // Of the claim that is over.
 	Silent []SilentWorker
--- a/verdict.go
+++ b/verdict.go
@@ -12,7 +12,7 @@
 const (
 	VerdictDone       Verdict = iota + 1
 	VerdictUnanswered         // The order may be carried out, now or later.
-	VerdictSuperseded         // The worker obeys a newer owner.
+	VerdictSuperseded         // The worker has accepted a newer owner's token.
 	VerdictBarred             // The run's number is not above one that ended there.
 	VerdictLate               // The order's time is over.
 	VerdictFull               // The worker has no room.
--- a/workflow.go
+++ b/workflow.go
@@ -168,7 +168,7 @@
 	return "unknown"
 }
 
-// WorkerEntry is what a worker says of itself in the platform's list.
+// WorkerEntry is a worker's registration in the platform's list.
 type WorkerEntry struct {
 	ID         string
 	Service    string
