A job of which nothing runs probes a worker that it is expected to disturb

One task now starts after 8 s, at the lowest throttle, where the expected slowdown is least. The failing test also tells now how far the jobs came, and keeps its hosts' log with -artifacts.

--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"io"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -16,8 +17,11 @@
 // sees every part.
 func TestExample(t *testing.T) {
 	firm := demonstrator.Firms["kask"]
+	logs, err := os.Create(filepath.Join(t.ArtifactDir(), "hosts.log"))
+	require.NoError(t, err)
+	defer logs.Close()
 	d, err := demonstrator.New(demonstrator.Config{
-		DataCentres: firm.DataCentres, EntryHosts: 2, Workers: 4, Logs: io.Discard, LogLevel: "info",
+		DataCentres: firm.DataCentres, EntryHosts: 2, Workers: 4, Logs: logs, LogLevel: "info",
 	})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/demonstrator/example.go
+++ b/demonstrator/example.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -295,8 +296,10 @@
 
 func (e *example) jobsDone(ctx context.Context) ([]*pb.JobDescription, error) {
 	var jobs []*pb.JobDescription
+	var lastErr error
 	err := until(ctx, jobsLimit, "the end of all jobs", func() bool {
 		m, err := e.client.ListJobs(ctx, connect.NewRequest(&pb.ListJobsRequest{}))
+		lastErr = err
 		if err != nil {
 			return false
 		}
@@ -308,7 +311,19 @@
 		}
 		return true
 	})
-	return jobs, err
+	if err != nil {
+		return jobs, fmt.Errorf("%w (error of the last call: %v): %s", err, lastErr, progressOf(jobs))
+	}
+	return jobs, nil
+}
+
+// progressOf tells how far jobs have come, for an error.
+func progressOf(jobs []*pb.JobDescription) string {
+	var list []string
+	for _, j := range jobs {
+		list = append(list, fmt.Sprintf("%s is %s with %v", j.GetJob().GetName(), j.GetState(), j.GetProgress()))
+	}
+	return strings.Join(list, "; ")
 }
 
 // summarize prints the table and checks the promises on the workers' and the
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -85,6 +85,7 @@
 	Resources briarspring.Resources
 	Weight    uint32
 	Avoid     uint32 // Worker that the task failed on last; zero for none.
+	Probe     bool   // It may start where it is expected to slow services too much.
 }
 
 // Attempt returns the attempt that a start of the task would be.
@@ -114,6 +115,7 @@
 	Host     string // Name of the worker.
 	Reason   string
 	Rejected []string // Other workers and why they were not chosen.
+	Probe    bool     // The task is expected to slow a service too much at full speed.
 }
 
 // Round holds the state of one round of decisions.
@@ -205,6 +207,7 @@
 func (r *Round) placeBatch(t Task) bool {
 	top := newRanking(r.placer.config.Rejected + 1)
 	noisy := 0
+	quietest := newRanking(1)
 	for _, w := range r.workers {
 		if !w.Usable || !t.Resources.Fits(w.Free) {
 			continue
@@ -212,11 +215,19 @@
 		noise := r.noiseOn(w, t.Class)
 		if noise > 0 && w.slowdown+noise > r.placer.config.MaxSlowdown {
 			noisy++
+			quietest.add(candidate{worker: w, score: w.slowdown + noise})
 			continue
 		}
 		top.add(candidate{worker: w, score: batchScore(w, t, noise)})
 	}
 	best := top.best()
+	if best == nil && t.Probe {
+		if q := quietest.best(); q != nil {
+			r.start(t, q.worker, fmt.Sprintf("probes an expected slowdown of %.2f", q.score), nil)
+			r.decisions[len(r.decisions)-1].Probe = true
+			return true
+		}
+	}
 	if best == nil {
 		r.wait(t, r.whyNone(t, noisy))
 		return false
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -65,6 +65,20 @@
 	assert.Contains(t, d[0].Reason, "slow a service")
 }
 
+// Estimates that were learned on a loaded host kept the last tasks of a job from
+// every worker; without a task beside a service nothing could correct them.
+func TestProbeStartsWhereItIsQuietest(t *testing.T) {
+	service := placer.Running{Service: "ledger", Resources: cores(2)}
+	probe := task(2, false)
+	probe.Probe = true
+	d := place(newPlacer(noisy(0.5)), probe, worker(1, 8, service, batch(3, 1, 1)), worker(2, 8, service))
+	require.Len(t, d, 1)
+	assert.Equal(t, placer.KindStart, d[0].Kind)
+	assert.Equal(t, "w2", d[0].Host)
+	assert.Contains(t, d[0].Reason, "probes")
+	assert.True(t, d[0].Probe)
+}
+
 func TestExecutorsSpread(t *testing.T) {
 	workers := []*placer.Worker{worker(1, 16), worker(2, 16), worker(3, 16), worker(4, 16)}
 	r := newPlacer(nil).NewRound(workers)
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -78,6 +78,9 @@
 		case placer.KindStart:
 			events = append(events, briarspring.Start{Attempt: d.Attempt, Worker: d.Worker})
 			s.waiting.clear(d.Attempt.Task.Workload)
+			if d.Probe {
+				s.guard.throttle[d.Attempt] = lowestThrottle
+			}
 		case placer.KindEvict:
 			events = append(events, briarspring.EvictIntent{Attempt: d.Attempt})
 		case placer.KindWait:
--- a/scheduler/decisions.go
+++ b/scheduler/decisions.go
@@ -95,9 +95,32 @@
 type waitingReasons struct {
 	reasons map[briarspring.WorkloadID]string
 	blocked map[briarspring.WorkloadID]time.Time
+	idle    map[briarspring.WorkloadID]time.Time // Since when nothing of the workload runs.
+}
+
+// probeAfter is how long a job waits of which nothing runs here, before one of
+// its tasks starts, at the lowest throttle, where it is expected to slow a
+// service too much. Only a task that runs can correct an estimate; fading alone
+// takes minutes.
+const probeAfter = 8 * time.Second
+
+// starves reports whether nothing of a waiting workload has run for so long that
+// one of its tasks may probe.
+func (w *waitingReasons) starves(id briarspring.WorkloadID, now time.Time, placed uint32) bool {
+	if placed > 0 {
+		delete(w.idle, id)
+		return false
+	}
+	since, ok := w.idle[id]
+	if !ok {
+		w.idle[id] = now
+		return false
+	}
+	return now.Sub(since) > probeAfter
 }
 
 func (w *waitingReasons) init() {
+	w.idle = map[briarspring.WorkloadID]time.Time{}
 	w.reasons = map[briarspring.WorkloadID]string{}
 	w.blocked = map[briarspring.WorkloadID]time.Time{}
 }
@@ -116,6 +139,7 @@
 func (w *waitingReasons) forget(id briarspring.WorkloadID) {
 	delete(w.reasons, id)
 	delete(w.blocked, id)
+	delete(w.idle, id)
 }
 
 func (w *waitingReasons) reason(id briarspring.WorkloadID) string { return w.reasons[id] }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -32,6 +32,7 @@
 	job     *briarspring.Job
 	waiting []briarspring.TaskState
 	held    int64 // Processors that its open attempts hold.
+	probe   bool  // The first task may start where it is expected to slow services.
 	blocked bool
 }
 
@@ -60,6 +61,7 @@
 		if l.Waiting() > 0 {
 			t.jobs = append(t.jobs, &jobQueue{
 				load: l, job: c.Job(), held: l.Resources().MilliCPU() * int64(l.Placed()),
+				probe: s.waiting.starves(id, now, l.Placed()),
 			})
 		}
 	}
@@ -190,13 +192,14 @@
 	}
 	task := placer.Task{
 		State: j.waiting[0], Workload: j.load.ID(), Name: j.job.Name(), Class: j.job.Class(),
-		Resources: need, Weight: j.job.Weight(),
+		Resources: need, Weight: j.job.Weight(), Probe: j.probe,
 		Avoid: q.scheduler.quarantine.avoid[briarspring.TaskID{Workload: j.load.ID(), Index: j.waiting[0].Index}],
 	}
 	if !round.Place(task) {
 		j.blocked = true
 		return false
 	}
+	j.probe = false
 	j.waiting = j.waiting[1:]
 	j.held += need.MilliCPU()
 	t.used = t.used.Add(need)
