A task that left and came back between two reads is not leaving any more

Its mark 'leaving' fell only when the task was seen elsewhere, so the task neither started nor moved again. Ruled out: void transfers (the tokens were in force), workers that stay unusable after a new life (they took up to 58 starts), room (the task came back to stay). The registry counts the transfers of a task now, and the dispatcher compares counts. The arrival of tasks has a log line, which was missing here. The wait for workers' entries after an outage covers one slow read of the list.

--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -39,7 +39,8 @@
 	index      int
 	position   int
 	mine       bool // This data centre runs it.
-	leaving    bool // Its transfer to another data centre is on its way.
+	moves      int  // Transfers of it that are recorded, as far as they were read.
+	leaving    bool // One more is on its way.
 	done       bool
 	failedRuns []uint32
 	lastRun    uint32
@@ -146,9 +147,10 @@
 }
 
 // Submit takes over a workflow whose submission stands at an offset, with what
-// is recorded of its tasks. Its age is the time since it was accepted.
-// Workflows that are known already are left alone.
-func (d *Dispatcher) Submit(now, age time.Duration, w *briarspring.Workflow, offset uint64, progress []briarspring.TaskProgress) {
+// is recorded of its tasks. Its age is the time since it was accepted; place is
+// nil for one of which no task was transferred. Workflows that are known already
+// are left alone.
+func (d *Dispatcher) Submit(now, age time.Duration, w *briarspring.Workflow, offset uint64, progress []briarspring.TaskProgress, place func(position int) Place) {
 	d.now = now
 	if d.jobs[w.ID] != nil {
 		return
@@ -162,6 +164,9 @@
 	}
 	d.jobs[w.ID] = j
 	d.changed = true
+	if place != nil {
+		j.settleIn(place)
+	}
 	for _, p := range progress {
 		d.resume(j, p)
 	}
@@ -206,34 +211,6 @@
 	}
 }
 
-// Keep tells which tasks of a workflow this data centre runs, by position.
-// Tasks that were transferred away are not started here any more, and a
-// workflow without any other is dropped. What tasks bring along that come from
-// elsewhere is looked up by position.
-func (d *Dispatcher) Keep(now time.Duration, id briarspring.WorkflowID, mine func(position int) bool, brought map[int]briarspring.TaskProgress) {
-	d.now = now
-	j := d.jobs[id]
-	if j == nil {
-		return
-	}
-	j.away = true
-	for _, t := range j.tasks {
-		was := t.mine
-		t.mine = mine(t.position)
-		if t.mine {
-			j.away = false
-		}
-		t.leaving = t.leaving && t.mine
-		if p, ok := brought[t.position]; ok && t.mine && !was {
-			p.Worker = ""
-			t.readySince = now
-			d.resume(j, p)
-		}
-	}
-	d.changed = true
-	d.settle(j)
-}
-
 // Cancel ends a workflow.
 func (d *Dispatcher) Cancel(now time.Duration, id briarspring.WorkflowID) {
 	d.now = now
--- a/dispatcher/transfer.go
+++ b/dispatcher/transfer.go
@@ -126,3 +126,53 @@
 		"out", d.out, "waited-ms", (d.now - tasks[0].readySince).Milliseconds())
 	return tr
 }
+
+// Place tells where a task belongs, as it is recorded.
+type Place struct {
+	Mine    bool // This data centre runs it.
+	Moves   int  // Transfers of it so far.
+	Brought briarspring.TaskProgress
+}
+
+// settleIn notes where the tasks of a new job belong.
+func (j *job) settleIn(place func(position int) Place) {
+	j.away = true
+	for _, t := range j.tasks {
+		p := place(t.position)
+		t.mine, t.moves = p.Mine, p.Moves
+		j.away = j.away && !t.mine
+	}
+}
+
+// Moved takes what is recorded of transfers of a workflow's tasks. Tasks that
+// went away are not started here any more, and a workflow without any other is
+// dropped. A task may have gone and come back since the last call.
+func (d *Dispatcher) Moved(now time.Duration, id briarspring.WorkflowID, place func(position int) Place) {
+	d.now = now
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	moved, arrived := 0, 0
+	for _, t := range j.tasks {
+		p := place(t.position)
+		if p.Moves == t.moves {
+			continue
+		}
+		moved++
+		t.leaving = false
+		if p.Mine {
+			arrived++
+			t.readySince = now
+			p.Brought.Worker = ""
+			d.resume(j, p.Brought)
+		}
+	}
+	if moved == 0 {
+		return
+	}
+	j.settleIn(place)
+	d.changed = true
+	d.logger.Info("tasks were transferred", "workflow", id, "tasks", moved, "arrived", arrived, "away", j.away)
+	d.settle(j)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -30,6 +30,7 @@
 type Moved struct {
 	To       string
 	Progress briarspring.TaskProgress
+	Count    int // Transfers of the task so far.
 }
 
 // Workflow returns the workflow as it was accepted.
@@ -296,7 +297,7 @@
 	e.transfers[name] = true
 	for _, p := range t.Tasks {
 		if e.DataCentre(p.Position) == t.From {
-			e.moved[p.Position] = Moved{To: t.To, Progress: p}
+			e.moved[p.Position] = Moved{To: t.To, Progress: p, Count: e.moved[p.Position].Count + 1}
 		}
 	}
 	return Change{Workflow: e.workflow.ID}, nil
--- a/steward/term.go
+++ b/steward/term.go
@@ -46,8 +46,9 @@
 	// setupPause after a failed step of taking a data centre over.
 	setupPause = 50 * time.Millisecond
 	// entriesReturn is the time within which workers' entries that lapsed during
-	// an outage of the log are back, as the platform states it, with its reading.
-	entriesReturn = 2400 * time.Millisecond
+	// an outage of the log are back: about 2 s as the platform states it, and a
+	// read of the list through a store that is still slow.
+	entriesReturn = 2750 * time.Millisecond
 	// modelInterval between two exchanges of what owners have learned.
 	modelInterval = 2 * time.Second
 	// expireLimit bounds the finished workflows that one beat drops.
@@ -225,21 +226,17 @@
 	if !t.concerns(e) {
 		return
 	}
-	if !t.engine.Knows(w.ID) {
-		if e.Phase().Final() && len(progress) == 0 {
-			return
+	place := t.placeOf(e)
+	switch {
+	case t.engine.Knows(w.ID):
+		if place != nil {
+			t.engine.Moved(now, w.ID, place)
 		}
+	case e.Phase().Final() && len(progress) == 0:
+		return
+	default:
 		age := max(0, min(time.Since(w.Submitted), t.config.KeepFinal))
-		t.engine.Submit(now, age, w, e.Offset(), t.withMoved(e, progress))
-	}
-	if len(e.Moved()) > 0 {
-		brought := map[int]briarspring.TaskProgress{}
-		for position, m := range e.Moved() {
-			if m.To == t.config.DataCentre {
-				brought[position] = m.Progress
-			}
-		}
-		t.engine.Keep(now, w.ID, func(position int) bool { return e.DataCentre(position) == t.config.DataCentre }, brought)
+		t.engine.Submit(now, age, w, e.Offset(), t.withMoved(e, progress), place)
 	}
 	if e.Cancelled() {
 		t.engine.Cancel(now, w.ID)
@@ -249,6 +246,19 @@
 	}
 }
 
+// placeOf returns where the tasks of a workflow belong; nil when none was
+// transferred.
+func (t *term) placeOf(e *registrar.Entry) func(position int) dispatcher.Place {
+	moved := e.Moved()
+	if len(moved) == 0 {
+		return nil
+	}
+	return func(position int) dispatcher.Place {
+		m := moved[position]
+		return dispatcher.Place{Mine: e.DataCentre(position) == t.config.DataCentre, Moves: m.Count, Brought: m.Progress}
+	}
+}
+
 // concerns reports whether the data centre has, or had, tasks of a workflow.
 func (t *term) concerns(e *registrar.Entry) bool {
 	if e.Workflow().DataCentre == t.config.DataCentre {
