--- a/imitator/worker.go
+++ b/imitator/worker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,10 @@
 	"briarspring"
 )
 
+// slowdownSteps in one is the precision of slowdowns: profiles give shares with
+// at most four decimals, throttles whole percent.
+const slowdownSteps = 1e6
+
 // WorkerConfig holds the settings of a Worker.
 type WorkerConfig struct {
 	Name           string
@@ -399,14 +404,25 @@
 }
 
 func (w *Worker) slowdown(service *workerTask) float64 {
-	factor := 1.0
+	var shares []float64
 	for _, t := range w.tasks {
 		if t.start.Service || t.phase != briarspring.TaskRunning {
 			continue
 		}
-		factor += t.profile.noiseFor(service.start.Name) * t.throttle
+		shares = append(shares, t.profile.noiseFor(service.start.Name)*t.throttle)
+	}
+	return sumSlowdown(shares)
+}
+
+// sumSlowdown adds the shares by which tasks slow an executor. The shares are
+// decimal fractions; rounding the sum takes off their binary representation
+// error, which depends on the order of the tasks.
+func sumSlowdown(shares []float64) float64 {
+	sum := 1.0
+	for _, s := range shares {
+		sum += s
 	}
-	return factor
+	return math.Round(sum*slowdownSteps) / slowdownSteps
 }
 
 // sample takes a measurement of each running attempt.
