A probe that lasts shows that its worker is sound; draining workers are cleared

A lasting task does not end, so 8 idle cores stayed closed for good, while the owner's beat told others of that room: lasting tasks went to and fro between two data centres every 0.6 s. Lasting tasks move while the worker drains, and the rest is stopped 1.5 s before it leaves, which gives certain ends. Ruled out: lost transfers (each arrived), free processors on other workers (at most 1.8 cores, the tasks need 3).

--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -97,6 +97,7 @@
 	}
 	d.missing(w, sent, listed)
 	d.stalls(w)
+	d.vouch(w)
 	for ref := range w.orphans {
 		if !listed[ref] {
 			delete(w.orphans, ref)
@@ -177,16 +178,6 @@
 	return now - r.since
 }
 
-// failedOn counts failures in a row and sets the worker aside after some.
-func (d *Dispatcher) failedOn(w *worker, r *run) {
-	w.streak++
-	if w.streak < failStreak {
-		return
-	}
-	w.aside = d.now + asideTime
-	d.logger.Warn("worker set aside", "worker", w.id, "failures-in-a-row", w.streak, "last-workflow", r.ref.Task.Workflow)
-}
-
 // task returns the task of a name, or nil.
 func (j *job) task(ref briarspring.TaskRef) *task {
 	if j == nil || ref.Step < 0 || ref.Step >= len(j.steps) {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -60,6 +60,7 @@
 	if d.changed {
 		d.changed = false
 		d.assign()
+		d.clearDraining()
 	}
 	orders := d.orders
 	d.orders = nil
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -20,24 +20,18 @@
 	// silentAfter without an answer a worker gets no starts; above the longest
 	// wait of a hold with its round trip.
 	silentAfter = 1200 * time.Millisecond
-	// failStreak of runs that failed one after the other sets a worker aside;
-	// at the usual failure shares of up to 5 percent, three in a row by chance
-	// are rare.
-	failStreak = 3
-	// asideTime is how long a worker is set aside before it gets one run as a
-	// probe.
-	asideTime = 4 * time.Second
 	// orderPause after an order that was refused or lost, before the next start.
 	orderPause = 500 * time.Millisecond
 )
 
 // worker is what the owner knows of one worker.
 type worker struct {
-	id     string
-	entry  briarspring.WorkerEntry
-	listed bool
-	goneAt time.Duration // When it left the list; zero for never.
-	early  bool          // Known when the claim came into force, so that a predecessor may have used it.
+	id       string
+	entry    briarspring.WorkerEntry
+	listed   bool
+	goneAt   time.Duration // When it left the list; zero for never.
+	leavesAt time.Duration // Earliest time at which it leaves while it drains.
+	early    bool          // Known when the claim came into force, so that a predecessor may have used it.
 
 	fenced     bool // Has answered under this owner's token in its present life.
 	born       int64
@@ -134,6 +128,7 @@
 	w.listed = true
 	w.goneAt = 0
 	w.entry = e
+	d.noteLeaving(w)
 }
 
 // Workers returns the IDs and addresses of the workers that need an agent.
@@ -159,14 +154,6 @@
 		now-w.answeredAt < silentAfter && now >= w.pausedUntil
 }
 
-// trusted reports whether the worker may get a start in view of its failures.
-func (w *worker) trusted(now time.Duration) bool {
-	if w.streak < failStreak {
-		return true
-	}
-	return now >= w.aside && w.probing == nil
-}
-
 // lapsesAt returns the time at which the lease has certainly ended, unless
 // another owner renewed it.
 func (w *worker) lapsesAt() time.Duration {
