An evicted executor serves on until gateways know that it leaves

The worker drained it and closed its idle connections while gateways that were told a moment later still sent requests on them. The stop now comes 1.2 s after the owner began to tell gateways. Ruled out: executors that close in mid-answer (each logged request had no byte of an answer), the clients' time-outs (logged and counted outcomes agree).

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -29,8 +29,9 @@
 	reported  map[briarspring.AttemptID]briarspring.TaskReport
 	leaseSent time.Duration // Highest lease that the worker may hold, by its clock.
 	notAfter  map[briarspring.AttemptID]time.Duration
-	throttles map[briarspring.AttemptID]uint32 // In force, as far as they were sent.
-	dirty     bool                             // The last report was not looked at yet.
+	throttles map[briarspring.AttemptID]uint32    // In force, as far as they were sent.
+	leaving   map[briarspring.AttemptID]time.Time // Since when gateways are told that an executor leaves.
+	dirty     bool                                // The last report was not looked at yet.
 	failures  int
 	lossSince time.Time // When the operators' declaration was first seen.
 }
@@ -65,6 +66,7 @@
 		reported:  map[briarspring.AttemptID]briarspring.TaskReport{},
 		notAfter:  map[briarspring.AttemptID]time.Duration{},
 		throttles: map[briarspring.AttemptID]uint32{},
+		leaving:   map[briarspring.AttemptID]time.Time{},
 	}
 }
 
@@ -185,6 +187,7 @@
 		a.leaseSent = 0
 		clear(a.notAfter)
 		clear(a.throttles)
+		clear(a.leaving)
 	}
 	a.failures = 0
 	a.report = report
@@ -218,6 +221,7 @@
 		if s.place.Open(attempt) != nil {
 			continue
 		}
+		delete(a.leaving, attempt)
 		if r.Phase.Ended() {
 			e.Forget = append(e.Forget, attempt)
 		} else {
@@ -254,7 +258,9 @@
 	stop := t.Evicting() || t.Cancelled()
 	switch {
 	case known && stop && r.Phase == briarspring.TaskRunning:
-		e.Stops = append(e.Stops, attempt)
+		if !s.lingers(a, attempt) {
+			e.Stops = append(e.Stops, attempt)
+		}
 	case known && r.Phase == briarspring.TaskRunning:
 		if percent := s.guard.percent(attempt); percent != a.throttled(attempt) {
 			a.throttles[attempt] = percent
@@ -268,6 +274,26 @@
 	}
 }
 
+// lingerTime is how long an executor that is to be stopped serves on, so that
+// every gateway knows that it leaves. Gateways follow the feed within tens of
+// milliseconds; one that lost its scheduler finds another within this time.
+const lingerTime = 1200 * time.Millisecond
+
+// lingers reports whether an executor that is to be stopped has to serve on.
+func (s *Scheduler) lingers(a *agent, attempt briarspring.AttemptID) bool {
+	if l := s.place.Load(attempt.Task.Workload); l == nil || !l.Service() {
+		return false
+	}
+	now := time.Now()
+	since, known := a.leaving[attempt]
+	if !known {
+		a.leaving[attempt] = now
+		time.AfterFunc(lingerTime, a.wake)
+		return true
+	}
+	return now.Sub(since) < lingerTime
+}
+
 const fullSpeed = 100
 
 func (a *agent) throttled(attempt briarspring.AttemptID) uint32 {
