--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -129,6 +129,31 @@
 	return queue, path[len(queue.Prefix):], nil
 }
 
+// Queue returns the queue of a name. Errors are *RefusedError before a directory
+// was read, and *briarspring.NotFoundError.
+func (a *Admitter) Queue(name string) (briarspring.Queue, error) {
+	directory, ok := a.config.Catalogue.Directory()
+	if !ok {
+		return briarspring.Queue{}, &RefusedError{Reason: "no directory was read yet", RetryAfter: retryAfter}
+	}
+	for _, q := range directory.Queues {
+		if q.Name == name {
+			return q, nil
+		}
+	}
+	return briarspring.Queue{}, &briarspring.NotFoundError{Object: "queue/" + name}
+}
+
+// Directory returns the operators' configuration of queues; false before it was
+// read.
+func (a *Admitter) Directory() (briarspring.Directory, bool) { return a.config.Catalogue.Directory() }
+
+// DataCentres returns the data centres as this host sees them.
+func (a *Admitter) DataCentres() []balancer.Option { return a.options() }
+
+// View calls f with the shared state, which must not be used afterwards.
+func (a *Admitter) View(f func(*registrar.Registry)) { a.config.Replica.View(f) }
+
 // Submit accepts a workflow. It returns nil when the workflow is stored, now or
 // before, a *RefusedError when it never runs, and a *briarspring.DoubtError when
 // it may run.
@@ -184,11 +209,14 @@
 
 // choose picks the data centre for a new workflow.
 func (a *Admitter) choose(w *briarspring.Workflow) string {
-	var options []balancer.Option
+	return balancer.Choose(a.config.DataCentre, w, a.options())
+}
+
+func (a *Admitter) options() (options []balancer.Option) {
 	a.config.Replica.View(func(r *registrar.Registry) {
 		options = balancer.Options(a.config.Now(), a.config.DataCentres, r, a.config.Catalogue)
 	})
-	return balancer.Choose(a.config.DataCentre, w, options)
+	return options
 }
 
 func (a *Admitter) known(id briarspring.WorkflowID) bool {
--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -81,7 +81,7 @@
 			return
 		}
 		h.out = h.centres[h.random.IntN(len(h.centres))]
-		h.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "out/" + h.out, Value: []byte("1")})
+		h.store.Put(briarspring.DirectoryStream, imitator.OutRecord(h.out, true))
 	},
 	"back": func(h *history) { h.takeBack() },
 	"cancel": func(h *history) {
@@ -153,7 +153,7 @@
 
 func (h *history) takeBack() {
 	if h.out != "" {
-		h.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "out/" + h.out})
+		h.store.Put(briarspring.DirectoryStream, imitator.OutRecord(h.out, false))
 		h.out = ""
 	}
 }
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -37,6 +37,8 @@
 	ReadyAddr   string
 	MetricsAddr string // Empty for none.
 
+	OperatorsAddr string // Of the operators' calls; empty for none.
+
 	Store   steward.Store
 	Workers steward.Workers
 	Decoder interface {
@@ -139,6 +141,7 @@
 	}
 	streams := map[string]*tracker.Tracker{"shared": reading, "directory": directory, "workers": listing}
 	addMetrics(l, c, intake, calls, streams, stewards)
+	addOperators(l, c, intake, stewards)
 	return l, intake
 }
 
--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"maps"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -42,7 +40,6 @@
 	failing   map[briarspring.TaskRef]int // Runs that fail before one is done.
 	hosts     map[string]*testHost
 	lives     int
-	listed    map[string]time.Time // When a worker was last up.
 	duties    sync.WaitGroup
 }
 
@@ -58,41 +55,15 @@
 	leaving bool // Its process is being replaced.
 }
 
-// testDecoder reads the records that the tests write.
-type testDecoder struct{}
-
-// Directory returns the usual queue, and from version 2 on another one.
-func (testDecoder) Directory(r briarspring.KeyedRecord) (briarspring.Directory, bool, error) {
-	if r.Key != "directory" {
-		return briarspring.Directory{}, false, nil
-	}
-	version, err := strconv.ParseUint(string(r.Value), 10, 64)
+// directoryRecord returns the usual queue, and from version 2 on another one.
+func directoryRecord(t *testing.T, version uint64) briarspring.KeyedRecord {
 	d := briarspring.Directory{Version: version, Queues: []briarspring.Queue{testQueue}}
 	if version > 1 {
 		d.Queues = append(d.Queues, briarspring.Queue{Name: "added", Host: testQueue.Host, Prefix: "/added/", Service: "ledger"})
 	}
-	return d, true, err
-}
-
-// OutOfService returns the data centre of a key such as "out/tartu".
-func (testDecoder) OutOfService(key string) (string, bool) {
-	if len(key) > 4 && key[:4] == "out/" {
-		return key[4:], true
-	}
-	return "", false
-}
-
-// Worker reads an entry that was written as JSON.
-func (testDecoder) Worker(r briarspring.KeyedRecord) (briarspring.WorkerEntry, error) {
-	var m struct {
-		Centre string
-		CPU    int64
-		Born   int64
-	}
-	if err := json.Unmarshal(r.Value, &m); err != nil {
-		return briarspring.WorkerEntry{}, err
-	}
-	return workerEntry(r.Key, m.Centre, m.CPU, m.Born), nil
+	r, err := imitator.DirectoryRecord(d)
+	require.NoError(t, err)
+	return r
 }
 
 func workerEntry(id, centre string, cpu, born int64) briarspring.WorkerEntry {
@@ -120,11 +91,11 @@
 	f := &fleet{
 		t: t, store: imitator.NewKeyedStore(seed), centres: centres, stop: cancel, began: time.Now(),
 		workflows: map[briarspring.WorkflowID]*briarspring.Workflow{}, failing: map[briarspring.TaskRef]int{},
-		hosts: map[string]*testHost{}, listed: map[string]time.Time{},
+		hosts: map[string]*testHost{},
 	}
 	f.pool = imitator.NewPool(imitator.PoolConfig{Seed: seed, Latency: time.Millisecond, Plan: f.planRun, Spec: f.spec})
 	f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
-	f.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "directory", Value: []byte("1")})
+	f.store.Put(briarspring.DirectoryStream, directoryRecord(t, 1))
 	for _, centre := range centres {
 		for i := range workersPerCentre {
 			f.pool.Add(workerEntry(fmt.Sprintf("worker-%s-%d", centre, i), centre, workerCPU, 0))
@@ -133,7 +104,8 @@
 			f.start(centre, i)
 		}
 	}
-	f.duties.Go(func() { f.keepListing(ctx) })
+	listing := imitator.NewListing(f.pool, f.store, hclog.NewNullLogger())
+	f.duties.Go(func() { listing.Run(ctx) })
 	time.Sleep(3 * time.Second)
 	return f
 }
@@ -163,32 +135,6 @@
 	return w, &w.Steps[t.Step]
 }
 
-// keepListing writes the workers' entries; those of silent workers go after
-// three intervals.
-func (f *fleet) keepListing(ctx context.Context) {
-	const interval = time.Second
-	for ctx.Err() == nil {
-		up := map[string]bool{}
-		for _, e := range f.pool.Entries() {
-			up[e.ID] = true
-			f.listed[e.ID] = time.Now()
-			value, err := json.Marshal(map[string]any{"Centre": e.DataCentre, "CPU": e.Capacity.MilliCPU(), "Born": e.Born})
-			require.NoError(f.t, err)
-			f.store.Put(briarspring.WorkersStream, briarspring.KeyedRecord{Key: e.ID, Value: value})
-		}
-		for id, at := range f.listed {
-			if !up[id] && time.Since(at) > 3*interval {
-				delete(f.listed, id)
-				f.store.Put(briarspring.WorkersStream, briarspring.KeyedRecord{Key: id})
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(interval):
-		}
-	}
-}
-
 // start begins a new life of a host.
 func (f *fleet) start(centre string, number int) *testHost {
 	ctx, cancel := context.WithCancel(f.t.Context())
@@ -201,7 +147,7 @@
 	l, h.intake = assembler.NewCore(assembler.HostConfig{
 		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: 160, MaxLease: 6 * time.Second, StopTime: 3 * time.Second,
 		KeepFinal: 120 * time.Second,
-		Store:     f.store.For(h.caller), Workers: f.pool.For(h.caller), Decoder: testDecoder{},
+		Store:     f.store.For(h.caller), Workers: f.pool.For(h.caller), Decoder: imitator.Decoder{},
 		Now: func() time.Duration { return time.Since(f.began) }, Logger: f.logger(h),
 	})
 	f.hosts[name] = h
--- a/assembler/path_test.go
+++ b/assembler/path_test.go
@@ -181,7 +181,7 @@
 		f.submit("0000000000000031", lastingStep(4))
 		assertRunning(t, f, "0000000000000031", time.Second)
 		home := f.centreOf("0000000000000031")
-		f.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "out/" + home, Value: []byte("1")})
+		f.store.Put(briarspring.DirectoryStream, imitator.OutRecord(home, true))
 		time.Sleep(time.Second)
 		for i := range workersPerCentre {
 			f.pool.Crash("worker-" + home + "-" + string(rune('0'+i)))
@@ -201,7 +201,7 @@
 			h := f.host(tartu, 0)
 			f.cutOff(h, true, true, true)
 			time.Sleep(4*time.Second + phase)
-			f.store.Put(briarspring.DirectoryStream, briarspring.KeyedRecord{Key: "directory", Value: []byte("2")})
+			f.store.Put(briarspring.DirectoryStream, directoryRecord(t, 2))
 			f.cutOff(h, true, true, false)
 			time.Sleep(inTouch)
 			_, _, err := h.intake.Find(testQueue.Host, "/added/")
--- a/cmd/briarspring/ctl.go
+++ b/cmd/briarspring/ctl.go
@@ -24,7 +24,7 @@
 )
 
 type ctlCmd struct {
-	Address string        `help:"Address of a scheduler's operators' port." default:"127.0.0.1:7300" env:"BRIARSPRING_OPERATORS"`
+	Address string        `help:"Address of the operators' port of a scheduler or host." default:"127.0.0.1:7300" env:"BRIARSPRING_OPERATORS"`
 	JSON    bool          `help:"Print JSON for scripts."`
 	Timeout time.Duration `help:"Longest wait for one answer." default:"15s"`
 
@@ -40,6 +40,7 @@
 	Explain     explainCmd     `cmd:"" help:"Tell why a task is where it is, or why it waits."`
 	Watch       watchCmd       `cmd:"" help:"Print decisions as they are taken."`
 	Wait        waitCmd        `cmd:"" help:"Wait until jobs have ended."`
+	Workflow    workflowCmd    `cmd:"" help:"Commands on workflows, which every host serves."`
 }
 
 // session is one use of the operators' calls.
--- a/cmd/briarspring/dev.go
+++ b/cmd/briarspring/dev.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	firm := demonstrator.Firms[c.Firm]
 	config := demonstrator.Config{
-		DataCentres: firm.DataCentres, EntryHosts: devEntryHosts, Workers: c.Workers, Logs: os.Stderr, LogLevel: c.Logs,
+		Firm: firm, EntryHosts: devEntryHosts, Workers: c.Workers, Logs: os.Stderr, LogLevel: c.Logs,
 	}
 	if c.Logs == "off" {
 		config.Logs, config.LogLevel = io.Discard, "error"
@@ -53,10 +53,13 @@
 
 func (c *devCmd) printAddresses(d *demonstrator.Demonstrator, firm demonstrator.Firm) {
 	for _, p := range d.Places() {
-		fmt.Printf("%s: gateways %v, operators %v, status pages %v\n", p.Name, p.Gateways, p.Operators, p.Admins)
+		fmt.Printf("%s: gateways %v, operators %v, status pages %v, hosts for workflows %v\n", p.Name, p.Gateways, p.Operators, p.Admins, p.Hosts)
 	}
 	first := d.Places()[0]
 	fmt.Printf("\nCreate the example service, then ask it:\n"+
 		"  briarspring ctl --address %s apply examples/%s.objects.ini\n"+
 		"  curl -i -X POST -d receipt http://%s%s\n", first.Operators[0], c.Firm, first.Gateways[0], firm.Path)
+	fmt.Printf("\nSubmit the example workflow, and see where it runs:\n"+
+		"  briarspring ctl --address %s workflow submit examples/bundle.workflow.ini\n"+
+		"  briarspring ctl --address %s workflow list\n", first.Hosts[0], first.Hosts[0])
 }
--- a/cmd/briarspring/host.go
+++ b/cmd/briarspring/host.go
@@ -69,11 +69,11 @@
 	return assembler.HostConfig{
 		Host: s.Host, DataCentre: s.DataCentre, DataCentres: s.DataCentres, MilliCPU: s.MilliCPU,
 		MaxLease: s.MaxLease, StopTime: s.StopGrace - exitTime, KeepFinal: s.KeepFinal, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr,
-		MetricsAddr: c.metricsAddr(s),
-		Store:       platform.NewStore(platform.StoreConfig{Address: s.StoreAddr, WriteRate: s.WriteRate, ReadRate: s.ReadRate}),
-		Workers:     platform.NewWorkers(),
-		Decoder:     platform.Decoder{},
-		Front:       func(a *admitter.Admitter) http.Handler { return platform.NewFront(a, logger) },
+		MetricsAddr: c.metricsAddr(s), OperatorsAddr: s.OperatorsAddr,
+		Store:   platform.NewStore(platform.StoreConfig{Address: s.StoreAddr, WriteRate: s.WriteRate, ReadRate: s.ReadRate}),
+		Workers: platform.NewWorkers(),
+		Decoder: platform.Decoder{},
+		Front:   func(a *admitter.Admitter) http.Handler { return platform.NewFront(a, logger) },
 		Ready: func(a *admitter.Admitter, draining func() bool) http.Handler {
 			return platform.NewReady(a, draining)
 		},
--- /dev/null
+++ b/declarer/workflow.go
@@ -0,0 +1,130 @@
+package declarer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"briarspring"
+)
+
+// Sections of a file that declares a workflow.
+const (
+	sectionWorkflow = "workflow"
+	sectionStep     = "step"
+)
+
+// LoadWorkflow reads a file that declares one workflow: a section such as
+// [workflow receipt-1], and a section for each of its steps from [step 0] on.
+// Errors are *ObjectError.
+func LoadWorkflow(path string) (briarspring.Workflow, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{}, path)
+	if err != nil {
+		return briarspring.Workflow{}, &ObjectError{File: path, Reason: err.Error()}
+	}
+	return workflow(path, file)
+}
+
+// ParseWorkflow reads a workflow from memory. Errors are *ObjectError.
+func ParseWorkflow(name string, data []byte) (briarspring.Workflow, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{}, data)
+	if err != nil {
+		return briarspring.Workflow{}, &ObjectError{File: name, Reason: err.Error()}
+	}
+	return workflow(name, file)
+}
+
+func workflow(path string, file *ini.File) (briarspring.Workflow, error) {
+	var w briarspring.Workflow
+	for _, section := range file.Sections() {
+		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		if err := addSection(&w, section); err != nil {
+			return briarspring.Workflow{}, &ObjectError{File: path, Section: section.Name(), Reason: err.Error()}
+		}
+	}
+	if w.ID == "" || len(w.Steps) == 0 {
+		return briarspring.Workflow{}, &ObjectError{File: path, Reason: "expected a section such as [workflow receipt-1] and one such as [step 0]"}
+	}
+	return w, nil
+}
+
+// addSection adds what a section declares.
+func addSection(w *briarspring.Workflow, section *ini.Section) error {
+	kind, name, _ := strings.Cut(section.Name(), " ")
+	r := &reader{section: section}
+	switch {
+	case kind == sectionWorkflow && w.ID == "":
+		id, err := briarspring.NewWorkflowID(name)
+		if err != nil {
+			return err
+		}
+		w.ID = id
+		w.Queue = r.required("queue")
+		w.Specification = r.text("specification", "")
+	case kind == sectionStep && w.ID != "" && name == strconv.Itoa(len(w.Steps)):
+		w.Steps = append(w.Steps, r.step(len(w.Steps)))
+	default:
+		return fmt.Errorf("expected one [workflow NAME], then [step 0], [step 1] and so on")
+	}
+	if r.fault != nil {
+		return r.fault
+	}
+	return r.unknownKey()
+}
+
+func (r *reader) step(number int) briarspring.Step {
+	return briarspring.Step{
+		Tasks: int(r.count("tasks", "1")), Resources: r.resources(""), Estimate: r.optionalDuration("estimate"),
+		After: r.earlier("after", number), Requirement: r.text("requirement", ""), Rack: r.text("rack", ""),
+		Image: r.text("image", ""), MaxPerWorker: int(r.count("max-per-worker", "0")),
+		TailTarget: r.optionalDuration("tail-target"), Checkpoints: r.flag("checkpoints"),
+		Speculative: r.flag("speculative"), Lasting: r.flag("lasting"), Fills: r.flag("fills"),
+	}
+}
+
+func (r *reader) required(name string) string {
+	v := r.text(name, "")
+	if v == "" {
+		r.fail(name, v, "a value")
+	}
+	return v
+}
+
+func (r *reader) optionalDuration(name string) time.Duration {
+	if !r.section.HasKey(name) {
+		r.known = append(r.known, name)
+		return 0
+	}
+	return r.duration(name)
+}
+
+func (r *reader) flag(name string) bool {
+	v := r.text(name, "false")
+	set, err := strconv.ParseBool(v)
+	if err != nil {
+		r.fail(name, v, "true or false")
+	}
+	return set
+}
+
+// earlier returns numbers of steps before the given one.
+func (r *reader) earlier(name string, step int) []int {
+	v := r.text(name, "")
+	if v == "" {
+		return nil
+	}
+	var list []int
+	for _, field := range strings.Split(v, ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil || n < 0 || n >= step {
+			r.fail(name, v, "numbers of earlier steps, such as 0, 1")
+		}
+		list = append(list, n)
+	}
+	return list
+}
--- /dev/null
+++ b/declarer/workflow_test.go
@@ -0,0 +1,80 @@
+package declarer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"briarspring"
+	"briarspring/declarer"
+)
+
+const bundle = `[workflow bundle-7]
+queue = season
+specification = claim 7
+
+[step 0]
+tasks = 4
+cpu = 1.5
+memory = 2GiB
+estimate = 900ms
+max-per-worker = 2
+
+[step 1]
+after = 0
+cpu = 1
+memory = 512MiB
+fills = true
+checkpoints = true
+image = claims
+`
+
+func TestWorkflowFile(t *testing.T) {
+	t.Run("is read", func(t *testing.T) {
+		w, err := declarer.ParseWorkflow("bundle.ini", []byte(bundle))
+		require.NoError(t, err)
+		assert.Equal(t, briarspring.WorkflowID("bundle-7"), w.ID)
+		assert.Equal(t, "season", w.Queue)
+		require.Len(t, w.Steps, 2)
+		assert.Equal(t, 900*time.Millisecond, w.Steps[0].Estimate)
+		assert.Equal(t, int64(1500), w.Steps[0].Resources.MilliCPU())
+		assert.Equal(t, []int{0}, w.Steps[1].After)
+		assert.True(t, w.Steps[1].Fills && w.Steps[1].Checkpoints && !w.Steps[1].Lasting)
+		assert.Equal(t, 1, w.Steps[1].Tasks)
+	})
+	tests := []struct{ name, text, want string }{
+		{"empty", "", "expected a section such as [workflow receipt-1]"},
+		{"no step", "[workflow w]\nqueue = q\n", "expected a section such as [workflow receipt-1]"},
+		{"no queue", "[workflow w]\n", "expected a value"},
+		{"bad name", "[workflow W!]\nqueue = q\n", "lower-case letters"},
+		{"step before its workflow", "[step 0]\ncpu = 1\nmemory = 1GiB\n", "expected one [workflow NAME]"},
+		{"step left out", "[workflow w]\nqueue = q\n[step 1]\ncpu = 1\nmemory = 1GiB\n", "expected one [workflow NAME]"},
+		{"two workflows", "[workflow w]\nqueue = q\n[workflow x]\nqueue = q\n", "expected one [workflow NAME]"},
+		{"later step first", "[workflow w]\nqueue = q\n[step 0]\ncpu = 1\nmemory = 1GiB\nafter = 0\n", "numbers of earlier steps"},
+		{"bad flag", "[workflow w]\nqueue = q\n[step 0]\ncpu = 1\nmemory = 1GiB\nfills = perhaps\n", "true or false"},
+		{"unknown key", "[workflow w]\nqueue = q\ncolour = red\n", "unknown key colour"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := declarer.ParseWorkflow("w.ini", []byte(tt.text))
+			var object *declarer.ObjectError
+			require.ErrorAs(t, err, &object)
+			assert.Contains(t, err.Error(), tt.want)
+		})
+	}
+}
+
+// FuzzParseWorkflow checks that no file makes the reader fail otherwise than by
+// its error.
+func FuzzParseWorkflow(f *testing.F) {
+	f.Add([]byte(bundle))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := declarer.ParseWorkflow("fuzz", data)
+		if err != nil {
+			var object *declarer.ObjectError
+			assert.ErrorAs(t, err, &object)
+		}
+	})
+}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -20,11 +20,11 @@
 
 // Config holds the settings of a Demonstrator.
 type Config struct {
-	DataCentres []string
-	EntryHosts  int // Of each data centre.
-	Workers     int // Of each data centre.
-	Logs        io.Writer
-	LogLevel    string
+	Firm       Firm
+	EntryHosts int // Of each data centre.
+	Workers    int // Of each data centre, for services and jobs, and as many for workflows.
+	Logs       io.Writer
+	LogLevel   string
 }
 
 // Demonstrator is a whole system in one process.
@@ -36,6 +36,7 @@
 	places     []*Place
 	schedulers []*launcher.Launcher
 	gateways   []*launcher.Launcher
+	workflows  *workflows
 	done       chan struct{}
 }
 
@@ -45,6 +46,7 @@
 	Gateways  []string
 	Operators []string
 	Admins    []string // Of the schedulers.
+	Hosts     []string // Operators' addresses of the hosts that run workflows.
 	fleet     *imitator.Fleet
 	peers     []string
 }
@@ -73,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, name := range c.DataCentres {
+	for _, name := range c.Firm.DataCentres {
 		p, err := d.newPlace(name)
 		if err != nil {
 			return nil, err
@@ -87,7 +89,8 @@
 			}
 		}
 	}
-	return d, nil
+	d.workflows, err = newWorkflows(c, d.places)
+	return d, err
 }
 
 func (d *Demonstrator) newPlace(name string) (*Place, error) {
@@ -221,6 +224,7 @@
 	for _, l := range d.gateways {
 		gateways.Go(func() { l.Run(ctx) })
 	}
+	gateways.Go(func() { d.workflows.run(ctx) })
 	gateways.Wait()
 	cancel()
 	schedulers.Wait()
--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -21,7 +21,7 @@
 	require.NoError(t, err)
 	defer logs.Close()
 	d, err := demonstrator.New(demonstrator.Config{
-		DataCentres: firm.DataCentres, EntryHosts: 2, Workers: 4, Logs: logs, LogLevel: "info",
+		Firm: firm, EntryHosts: 2, Workers: 4, Logs: logs, LogLevel: "info",
 	})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/demonstrator/example.go
+++ b/demonstrator/example.go
@@ -125,6 +125,7 @@
 	system *Demonstrator
 	firm   Firm
 	client briarspringv1connect.OperatorsClient
+	flows  *workflowRun
 	out    io.Writer
 }
 
@@ -134,9 +135,13 @@
 func Example(ctx context.Context, d *Demonstrator, firm Firm, out io.Writer) error {
 	e := &example{system: d, firm: firm, out: out}
 	e.client = briarspringv1connect.NewOperatorsClient(http.DefaultClient, "http://"+d.Places()[0].Operators[0])
+	e.flows = newWorkflowRun(d.workflows, d.Places()[0].Hosts[0])
 	if err := e.up(ctx); err != nil {
 		return err
 	}
+	if err := e.flows.up(ctx); err != nil {
+		return err
+	}
 	if err := e.create(ctx); err != nil {
 		return err
 	}
@@ -145,6 +150,9 @@
 	}
 	loaded := make(chan []*generator.Result, 1)
 	go func() { loaded <- e.load(ctx) }()
+	completed := make(chan error, 1)
+	go e.flows.load(ctx)
+	go func() { completed <- e.flows.watch(ctx) }()
 	if err := e.move(ctx); err != nil {
 		return err
 	}
@@ -153,6 +161,9 @@
 	if err != nil {
 		return err
 	}
+	if err := <-completed; err != nil {
+		return err
+	}
 	return e.summarize(results[0], jobs)
 }
 
@@ -289,6 +300,7 @@
 		} else {
 			_, err = e.client.ReturnDataCentre(ctx, q)
 		}
+		e.system.workflows.setOut(d.GetName(), out)
 		fmt.Fprintf(e.out, "%s out of service: %t\n", d.GetName(), out)
 	}
 	return err
@@ -347,18 +359,23 @@
 	}
 	fmt.Fprintf(w, "tasks\tdone %d\tevictions %d\n", done, evictions)
 	fmt.Fprintf(w, "doubled\trequests %d\ttasks %d\n", doubledRequests, doubledTasks)
+	problems := e.flows.summarize(w)
 	w.Flush()
-	return verdict(r, doubledRequests, doubledTasks, done, int(wanted))
+	return verdict(r, problems, doubledRequests, doubledTasks, done, int(wanted))
 }
 
-func verdict(r *generator.Result, doubledRequests, doubledTasks, done, wanted int) error {
-	var problems []string
+// verdict returns a *BrokenError when a promise was broken, also one of those
+// that were found already.
+func verdict(r *generator.Result, problems []string, doubledRequests, doubledTasks, done, wanted int) error {
 	if doubledRequests > 0 || doubledTasks > 0 {
 		problems = append(problems, "something was doubled")
 	}
 	if done != wanted {
 		problems = append(problems, fmt.Sprintf("%d of %d tasks are done", done, wanted))
 	}
+	if r.Unknown > 0 {
+		problems = append(problems, fmt.Sprintf("the outcome of %d requests is unknown", r.Unknown))
+	}
 	if r.Wrong > 0 {
 		problems = append(problems, "an answer was wrong")
 	}
--- /dev/null
+++ b/dispatcher/runs.go
@@ -0,0 +1,59 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"briarspring"
+)
+
+// RunInfo describes a run that may be alive, for operators.
+type RunInfo struct {
+	Run    briarspring.RunRef
+	Worker string
+	State  string // In kebab case.
+	Age    time.Duration
+	Pace   int // In percent of full speed.
+	Image  string
+	Tail   float64 // Of a lasting task, as a share of its target; zero for none.
+}
+
+// stateStopping is told of runs whose stop was ordered.
+const stateStopping = "stopping"
+
+// Runs returns the runs of a workflow that may be alive, or those of all when
+// the ID is empty, in order of their names.
+func (d *Dispatcher) Runs(id briarspring.WorkflowID) []RunInfo {
+	var list []RunInfo
+	for _, w := range d.order {
+		for ref, r := range w.runs {
+			if id == "" || ref.Task.Workflow == id {
+				list = append(list, d.describe(r))
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b RunInfo) int {
+		return cmp.Or(
+			cmp.Compare(a.Run.Task.Workflow, b.Run.Task.Workflow),
+			cmp.Compare(a.Run.Task.Step, b.Run.Task.Step),
+			cmp.Compare(a.Run.Task.Index, b.Run.Task.Index),
+			cmp.Compare(a.Run.Run, b.Run.Run),
+		)
+	})
+	return list
+}
+
+func (d *Dispatcher) describe(r *run) RunInfo {
+	spec := r.task.step.spec()
+	info := RunInfo{
+		Run: r.ref, Worker: r.worker.id, State: r.state.String(), Age: d.now - r.since, Pace: r.pace, Image: spec.Image,
+	}
+	if r.stopping {
+		info.State = stateStopping
+	}
+	if spec.Lasting && spec.TailTarget > 0 {
+		info.Tail = r.usage / float64(spec.TailTarget.Milliseconds())
+	}
+	return info
+}
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -20,12 +20,19 @@
 		Priority: int32(w.Priority), MaxAttempts: int32(w.MaxAttempts), Stretch: w.Stretch,
 		AllowanceMs: w.Allowance.Milliseconds(), DataCentre: w.DataCentre, SubmittedMs: w.Submitted.UnixMilli(),
 	}
-	for _, s := range w.Steps {
-		m.Steps = append(m.Steps, encodeStep(s))
-	}
+	m.Steps = EncodeSteps(w.Steps)
 	return proto.Marshal(m)
 }
 
+// EncodeSteps returns the messages of a workflow's steps.
+func EncodeSteps(steps []briarspring.Step) []*pb.WorkflowStep {
+	var list []*pb.WorkflowStep
+	for _, s := range steps {
+		list = append(list, encodeStep(s))
+	}
+	return list
+}
+
 func encodeStep(s briarspring.Step) *pb.WorkflowStep {
 	m := &pb.WorkflowStep{
 		Tasks: int32(s.Tasks), MilliCpu: s.Resources.MilliCPU(), MemoryMib: s.Resources.MemoryMiB(),
@@ -53,17 +60,25 @@
 		Allowance:  time.Duration(m.AllowanceMs) * time.Millisecond,
 		DataCentre: m.DataCentre, Submitted: time.UnixMilli(m.SubmittedMs),
 	}
-	for i, s := range m.Steps {
-		step, err := decodeStep(i, s)
+	var err error
+	w.Steps, err = DecodeSteps(m.Steps)
+	return w, err
+}
+
+// DecodeSteps returns the steps of a workflow, or a *MalformedError.
+func DecodeSteps(list []*pb.WorkflowStep) ([]briarspring.Step, error) {
+	if len(list) == 0 {
+		return nil, malformed("workflow", "it has no steps")
+	}
+	var steps []briarspring.Step
+	for i, m := range list {
+		s, err := decodeStep(i, m)
 		if err != nil {
 			return nil, err
 		}
-		w.Steps = append(w.Steps, step)
+		steps = append(steps, s)
 	}
-	if len(w.Steps) == 0 {
-		return nil, malformed("submission", "it has no steps")
-	}
-	return w, nil
+	return steps, nil
 }
 
 func decodeStep(i int, m *pb.WorkflowStep) (briarspring.Step, error) {
@@ -78,11 +93,14 @@
 		Checkpoints: m.Checkpoints, Speculative: m.Speculative, Lasting: m.Lasting, Fills: m.Fills,
 	}
 	if s.Tasks < 1 || s.Tasks > briarspring.MaxTasks {
-		return s, malformed("submission", "step %d has %d tasks", i, s.Tasks)
+		return s, malformed("workflow", "step %d has %d tasks", i, s.Tasks)
+	}
+	if m.MilliCpu < 0 || m.MemoryMib < 0 || m.Accelerators < 0 || m.EstimateMs < 0 || m.MaxPerWorker < 0 || m.TailTargetUs < 0 {
+		return s, malformed("workflow", "step %d has a negative amount", i)
 	}
 	for _, a := range m.After {
 		if a < 0 || int(a) >= i {
-			return s, malformed("submission", "step %d comes after step %d", i, a)
+			return s, malformed("workflow", "step %d comes after step %d", i, a)
 		}
 		s.After = append(s.After, int(a))
 	}
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -21,6 +21,9 @@
 	Plan func(briarspring.RunRef) (work time.Duration, end briarspring.RunEnd)
 	// Spec returns the step of a task, for the account of what must hold.
 	Spec func(briarspring.TaskRef) (*briarspring.Workflow, *briarspring.Step)
+	// Press returns by how much one core of an image that fills raises the tail of
+	// an image that serves, as a share of its target. Nil reports no tails.
+	Press func(serving, filling string) float64
 }
 
 // Pool is a stand-in for workers that run tasks under leases. It keeps an
@@ -36,7 +39,15 @@
 	broken   []string
 	done     map[briarspring.TaskRef]time.Time // When the end was acknowledged.
 	failures map[briarspring.TaskRef]int
-	starts   int
+	account  PoolAccount
+}
+
+// PoolAccount counts what a pool's workers saw.
+type PoolAccount struct {
+	Starts   int // Runs that began.
+	Paces    int // Orders that changed the speed of a run.
+	Readings int // Tails of lasting tasks that were reported.
+	Over     int // Those above their target.
 }
 
 type poolWorker struct {
@@ -53,11 +64,6 @@
 	changed chan struct{}
 }
 
-type poolRun struct {
-	checkpoint string
-	life       int
-}
-
 // NewPool returns a pool without workers.
 func NewPool(c PoolConfig) *Pool {
 	return &Pool{
@@ -174,10 +180,13 @@
 }
 
 // Starts returns the number of runs that began.
-func (p *Pool) Starts() int {
+func (p *Pool) Starts() int { return p.Account().Starts }
+
+// Account returns what the workers saw so far.
+func (p *Pool) Account() PoolAccount {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.starts
+	return p.account
 }
 
 // For returns the workers as a caller reaches them.
@@ -320,7 +329,7 @@
 		return briarspring.HoldReply{}, &briarspring.DoubtError{Call: "hold", Cause: &LostAnswerError{Part: id}}
 	}
 	p.lapse(w)
-	return w.list(), nil
+	return p.list(w), nil
 }
 
 // acknowledge forgets ends that are stored; those that are done must never run
@@ -334,10 +343,12 @@
 	}
 }
 
-func (w *poolWorker) list() briarspring.HoldReply {
+func (p *Pool) list(w *poolWorker) briarspring.HoldReply {
 	reply := briarspring.HoldReply{Born: w.entry.Born, Clock: w.clock(), Ended: slices.Clone(w.ended)}
 	for ref, r := range w.runs {
-		reply.Running = append(reply.Running, briarspring.RunningTask{Run: ref, Checkpoint: r.checkpoint, Percent: 100})
+		reply.Running = append(reply.Running, briarspring.RunningTask{
+			Run: ref, Checkpoint: r.checkpoint, Percent: r.percent(), Usage: p.usage(w, r),
+		})
 	}
 	return reply
 }
@@ -361,22 +372,21 @@
 	}
 	w.renew(o.Until)
 	p.check(w, o.Run)
-	p.starts++
-	r := &poolRun{checkpoint: o.Checkpoint, life: w.life}
-	w.runs[o.Run] = r
+	p.account.Starts++
 	work, how := p.config.Plan(o.Run)
-	if work == 0 {
-		return nil
-	}
-	go func() {
-		time.Sleep(work)
+	_, step := p.config.Spec(o.Run.Task)
+	r := newPoolRun(o.Checkpoint, work, step)
+	w.runs[o.Run] = r
+	life := w.life
+	r.finish = func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.lapse(w)
-		if w.runs[o.Run] == r && w.up && w.life == r.life {
+		if w.runs[o.Run] == r && w.up && w.life == life && r.over() {
 			p.end(w, o.Run, how, "")
 		}
-	}()
+	}
+	r.schedule()
 	return nil
 }
 
@@ -429,12 +439,16 @@
 	})
 }
 
-// Pace does nothing but look at the token.
+// Pace sets the speed of a run.
 func (c *PoolClient) Pace(ctx context.Context, _, id string, o briarspring.PaceOrder) error {
 	return c.deliver(ctx, id, func(w *poolWorker) error {
 		if w.fenced(o.Token) {
 			return refused(briarspring.VerdictSuperseded)
 		}
+		if r := w.runs[o.Run]; r != nil {
+			r.setPace(o.Percent)
+			c.pool.account.Paces++
+		}
 		return nil
 	})
 }
--- /dev/null
+++ b/imitator/record.go
@@ -0,0 +1,119 @@
+package imitator
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"briarspring"
+)
+
+// Keys of the records that stand for the operators' decisions.
+const (
+	keyDirectory = "directory"
+	prefixOut    = "out/"
+)
+
+// directoryRecord is the form in which stand-ins keep the queues.
+type directoryRecord struct {
+	Version uint64        `json:"version"`
+	Queues  []queueRecord `json:"queues"`
+}
+
+type queueRecord struct {
+	Name        string  `json:"name"`
+	Host        string  `json:"host"`
+	Prefix      string  `json:"prefix"`
+	Service     string  `json:"service"`
+	Priority    int     `json:"priority"`
+	MaxAttempts int     `json:"max-attempts"`
+	Stretch     float64 `json:"stretch"`
+	AllowanceMs int64   `json:"allowance-ms"`
+}
+
+// workerRecord is the form in which stand-ins keep a worker's entry.
+type workerRecord struct {
+	Service      string   `json:"service"`
+	Address      string   `json:"address"`
+	DataCentre   string   `json:"data-centre"`
+	Rack         string   `json:"rack"`
+	Labels       []string `json:"labels"`
+	MilliCPU     int64    `json:"milli-cpu"`
+	MemoryMiB    int64    `json:"memory-mib"`
+	Accelerators int64    `json:"accelerators"`
+	Draining     bool     `json:"draining"`
+	Born         int64    `json:"born"`
+}
+
+// DirectoryRecord returns the record that puts queues in force.
+func DirectoryRecord(d briarspring.Directory) (briarspring.KeyedRecord, error) {
+	m := directoryRecord{Version: d.Version}
+	for _, q := range d.Queues {
+		m.Queues = append(m.Queues, queueRecord{
+			Name: q.Name, Host: q.Host, Prefix: q.Prefix, Service: q.Service, Priority: q.Priority,
+			MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, AllowanceMs: q.Allowance.Milliseconds(),
+		})
+	}
+	value, err := json.Marshal(m)
+	return briarspring.KeyedRecord{Key: keyDirectory, Value: value}, err
+}
+
+// OutRecord returns the record that takes a data centre out of service, or the
+// one that brings it back.
+func OutRecord(dataCentre string, out bool) briarspring.KeyedRecord {
+	r := briarspring.KeyedRecord{Key: prefixOut + dataCentre}
+	if out {
+		r.Value = []byte("{}")
+	}
+	return r
+}
+
+// WorkerRecord returns the record of a worker's entry.
+func WorkerRecord(e briarspring.WorkerEntry) (briarspring.KeyedRecord, error) {
+	value, err := json.Marshal(workerRecord{
+		Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Rack: e.Rack, Labels: e.Labels,
+		MilliCPU: e.Capacity.MilliCPU(), MemoryMiB: e.Capacity.MemoryMiB(), Accelerators: e.Capacity.Accelerators(),
+		Draining: e.Draining, Born: e.Born,
+	})
+	return briarspring.KeyedRecord{Key: e.ID, Value: value}, err
+}
+
+// Decoder reads the records that the stand-ins keep.
+type Decoder struct{}
+
+// Directory returns the queues of a record; false for other records.
+func (Decoder) Directory(r briarspring.KeyedRecord) (briarspring.Directory, bool, error) {
+	if r.Key != keyDirectory || len(r.Value) == 0 {
+		return briarspring.Directory{}, false, nil
+	}
+	var m directoryRecord
+	if err := json.Unmarshal(r.Value, &m); err != nil {
+		return briarspring.Directory{}, false, err
+	}
+	d := briarspring.Directory{Version: m.Version}
+	for _, q := range m.Queues {
+		d.Queues = append(d.Queues, briarspring.Queue{
+			Name: q.Name, Host: q.Host, Prefix: q.Prefix, Service: q.Service, Priority: q.Priority,
+			MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Allowance: time.Duration(q.AllowanceMs) * time.Millisecond,
+		})
+	}
+	return d, true, nil
+}
+
+// OutOfService returns the data centre that a record takes out of service.
+func (Decoder) OutOfService(key string) (string, bool) { return strings.CutPrefix(key, prefixOut) }
+
+// Worker returns a worker's entry.
+func (Decoder) Worker(r briarspring.KeyedRecord) (briarspring.WorkerEntry, error) {
+	var m workerRecord
+	if err := json.Unmarshal(r.Value, &m); err != nil {
+		return briarspring.WorkerEntry{}, err
+	}
+	return briarspring.WorkerEntry{
+		ID: r.Key, Service: m.Service, Address: m.Address, DataCentre: m.DataCentre, Rack: m.Rack, Labels: m.Labels,
+		Capacity: briarspring.NewResources(briarspring.ResourcesConfig{
+			MilliCPU: m.MilliCPU, MemoryMiB: m.MemoryMiB, Accelerators: m.Accelerators,
+		}),
+		Draining: m.Draining, Born: m.Born,
+	}, nil
+}
--- /dev/null
+++ b/operator/workflow.go
@@ -0,0 +1,240 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+
+	"connectrpc.com/connect"
+
+	"briarspring"
+	"briarspring/admitter"
+	"briarspring/balancer"
+	"briarspring/dispatcher"
+	"briarspring/encoder"
+	pb "briarspring/gen/briarspring/v1"
+	"briarspring/registrar"
+)
+
+// Intake takes workflows in and knows the state of all.
+type Intake interface {
+	Queue(name string) (briarspring.Queue, error)
+	Directory() (briarspring.Directory, bool)
+	DataCentres() []balancer.Option
+	Submit(ctx context.Context, q briarspring.Queue, w *briarspring.Workflow) error
+	Cancel(ctx context.Context, id briarspring.WorkflowID) (known bool, err error)
+	Waiting(q briarspring.Queue) int
+	View(f func(*registrar.Registry))
+}
+
+// Owner knows the runs of a data centre while its process owns it.
+type Owner interface {
+	Runs(id briarspring.WorkflowID) (list []dispatcher.RunInfo, ok bool)
+}
+
+// WorkflowServer answers the operators' calls on workflows.
+type WorkflowServer struct {
+	intake Intake
+	owners map[string]Owner
+}
+
+// NewWorkflowServer returns a server; owners are by data centre.
+func NewWorkflowServer(i Intake, owners map[string]Owner) *WorkflowServer {
+	return &WorkflowServer{intake: i, owners: owners}
+}
+
+// defaultRows bounds a list for which the caller names no limit.
+const defaultRows = 1000
+
+func rows(limit int32) int {
+	if limit <= 0 {
+		return defaultRows
+	}
+	return int(limit)
+}
+
+// SubmitWorkflow accepts a workflow.
+func (s *WorkflowServer) SubmitWorkflow(ctx context.Context, r *connect.Request[pb.SubmitWorkflowRequest]) (*connect.Response[pb.SubmitWorkflowResponse], error) {
+	id, err := briarspring.NewWorkflowID(r.Msg.GetId())
+	if err != nil {
+		return nil, workflowError(err)
+	}
+	steps, err := encoder.DecodeSteps(r.Msg.GetSteps())
+	if err != nil {
+		return nil, workflowError(err)
+	}
+	queue, err := s.intake.Queue(r.Msg.GetQueue())
+	if err != nil {
+		return nil, workflowError(err)
+	}
+	w := &briarspring.Workflow{ID: id, Specification: r.Msg.GetSpecification(), Steps: steps}
+	if err := s.intake.Submit(ctx, queue, w); err != nil {
+		return nil, workflowError(err)
+	}
+	m := &pb.SubmitWorkflowResponse{DataCentre: w.DataCentre}
+	s.intake.View(func(r *registrar.Registry) {
+		// A repeat belongs where the first submission went.
+		if e := r.Workflow(id); e != nil {
+			m.DataCentre = e.Workflow().DataCentre
+		}
+	})
+	return connect.NewResponse(m), nil
+}
+
+// DescribeWorkflow tells what a workflow is and how far it has come.
+func (s *WorkflowServer) DescribeWorkflow(_ context.Context, r *connect.Request[pb.DescribeWorkflowRequest]) (*connect.Response[pb.WorkflowDescription], error) {
+	var m *pb.WorkflowDescription
+	s.intake.View(func(reg *registrar.Registry) {
+		if e := reg.Workflow(briarspring.WorkflowID(r.Msg.GetId())); e != nil {
+			m = describeWorkflow(e)
+			m.Steps = encoder.EncodeSteps(e.Workflow().Steps)
+		}
+	})
+	if m == nil {
+		return nil, rpcError(&briarspring.NotFoundError{Object: "workflow/" + r.Msg.GetId()})
+	}
+	return connect.NewResponse(m), nil
+}
+
+func describeWorkflow(e *registrar.Entry) *pb.WorkflowDescription {
+	w := e.Workflow()
+	m := &pb.WorkflowDescription{
+		Id: string(w.ID), Queue: w.Queue, Phase: e.Phase().String(), Priority: int32(w.Priority),
+		SubmittedMs: w.Submitted.UnixMilli(), ObjectiveMs: w.Objective().Milliseconds(),
+		Tasks: int32(w.TaskCount()), TasksIn: map[string]int32{},
+	}
+	for position := range w.TaskCount() {
+		m.TasksIn[e.DataCentre(position)]++
+	}
+	return m
+}
+
+// ListWorkflows lists workflows in order of their IDs.
+func (s *WorkflowServer) ListWorkflows(_ context.Context, r *connect.Request[pb.ListWorkflowsRequest]) (*connect.Response[pb.ListWorkflowsResponse], error) {
+	m := &pb.ListWorkflowsResponse{}
+	s.intake.View(func(reg *registrar.Registry) {
+		reg.Workflows(func(e *registrar.Entry) {
+			if r.Msg.GetQueue() != "" && e.Workflow().Queue != r.Msg.GetQueue() {
+				return
+			}
+			if r.Msg.GetPhase() != "" && e.Phase().String() != r.Msg.GetPhase() {
+				return
+			}
+			m.Workflows = append(m.Workflows, describeWorkflow(e))
+		})
+	})
+	slices.SortFunc(m.Workflows, func(a, b *pb.WorkflowDescription) int { return cmp.Compare(a.Id, b.Id) })
+	m.Workflows = m.Workflows[:min(len(m.Workflows), rows(r.Msg.GetLimit()))]
+	return connect.NewResponse(m), nil
+}
+
+// CancelWorkflows ends workflows. An error may leave some of them cancelled; the
+// call may be repeated.
+func (s *WorkflowServer) CancelWorkflows(ctx context.Context, r *connect.Request[pb.CancelWorkflowsRequest]) (*connect.Response[pb.CancelWorkflowsResponse], error) {
+	if len(r.Msg.GetIds()) == 0 {
+		return nil, rpcError(&briarspring.InvalidError{Object: "workflows", Reason: "no ID is given"})
+	}
+	m := &pb.CancelWorkflowsResponse{}
+	for _, id := range r.Msg.GetIds() {
+		known, err := s.intake.Cancel(ctx, briarspring.WorkflowID(id))
+		if err != nil {
+			return nil, workflowError(err)
+		}
+		if !known {
+			m.Unknown = append(m.Unknown, id)
+		}
+	}
+	return connect.NewResponse(m), nil
+}
+
+// ListQueues lists the queues of the directory.
+func (s *WorkflowServer) ListQueues(context.Context, *connect.Request[pb.ListQueuesRequest]) (*connect.Response[pb.ListQueuesResponse], error) {
+	directory, ok := s.intake.Directory()
+	if !ok {
+		return nil, workflowError(&admitter.RefusedError{Reason: "no directory was read yet"})
+	}
+	m := &pb.ListQueuesResponse{Version: directory.Version}
+	for _, q := range directory.Queues {
+		m.Queues = append(m.Queues, &pb.QueueDescription{
+			Name: q.Name, Host: q.Host, Prefix: q.Prefix, Service: q.Service, Priority: int32(q.Priority),
+			MaxAttempts: int32(q.MaxAttempts), Stretch: q.Stretch, AllowanceMs: q.Allowance.Milliseconds(),
+			Waiting: int32(s.intake.Waiting(q)),
+		})
+	}
+	return connect.NewResponse(m), nil
+}
+
+// ListOwners lists the data centres with their owners.
+func (s *WorkflowServer) ListOwners(context.Context, *connect.Request[pb.ListOwnersRequest]) (*connect.Response[pb.ListOwnersResponse], error) {
+	m := &pb.ListOwnersResponse{}
+	for _, o := range s.intake.DataCentres() {
+		m.Owners = append(m.Owners, &pb.OwnerDescription{
+			DataCentre: o.DataCentre, Out: o.Out, BeatAgeMs: o.BeatAge.Milliseconds(),
+			TotalMilliCpu: o.Total, FreeMilliCpu: o.Free, BacklogSeconds: o.Backlog,
+		})
+	}
+	s.intake.View(func(r *registrar.Registry) {
+		for _, o := range m.Owners {
+			claim := r.Claim(o.DataCentre)
+			o.Owner, o.Token = claim.Owner, claim.Token
+		}
+	})
+	return connect.NewResponse(m), nil
+}
+
+// ListRuns lists the runs in the data centres that this process owns.
+func (s *WorkflowServer) ListRuns(_ context.Context, r *connect.Request[pb.ListRunsRequest]) (*connect.Response[pb.ListRunsResponse], error) {
+	m := &pb.ListRunsResponse{}
+	for _, o := range s.intake.DataCentres() {
+		owner := s.owners[o.DataCentre]
+		if owner == nil {
+			continue
+		}
+		runs, _ := owner.Runs(briarspring.WorkflowID(r.Msg.GetWorkflow()))
+		for _, run := range runs {
+			m.Runs = append(m.Runs, describeRun(o.DataCentre, run))
+		}
+	}
+	m.Runs = m.Runs[:min(len(m.Runs), rows(r.Msg.GetLimit()))]
+	return connect.NewResponse(m), nil
+}
+
+func describeRun(dataCentre string, r dispatcher.RunInfo) *pb.RunDescription {
+	return &pb.RunDescription{
+		Workflow: string(r.Run.Task.Workflow), Step: int32(r.Run.Task.Step), Index: int32(r.Run.Task.Index), Run: r.Run.Run,
+		DataCentre: dataCentre, Worker: r.Worker, State: r.State, AgeMs: r.Age.Milliseconds(),
+		PacePercent: int32(r.Pace), Image: r.Image, Tail: r.Tail,
+	}
+}
+
+// workflowError maps an error of a workflow's call to a code of the protocol. A
+// refused call has no effect; one without an answer may have one.
+func workflowError(err error) error {
+	var refused *admitter.RefusedError
+	var doubt *briarspring.DoubtError
+	var malformed *encoder.MalformedError
+	switch {
+	case errors.As(err, &refused):
+		return refusalError(refused)
+	case errors.As(err, &doubt):
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	case errors.As(err, &malformed):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return rpcError(err)
+}
+
+// refusalError tells whether and when a retry may be accepted.
+func refusalError(r *admitter.RefusedError) error {
+	code := connect.CodeUnavailable
+	if r.RetryAfter == 0 {
+		code = connect.CodeFailedPrecondition
+	}
+	e := connect.NewError(code, r)
+	detail, err := connect.NewErrorDetail(&pb.RefusalDetail{Reason: r.Reason, RetryAfterMs: r.RetryAfter.Milliseconds()})
+	if err == nil {
+		e.AddDetail(detail)
+	}
+	return e
+}
--- /dev/null
+++ b/operator/workflow_test.go
@@ -0,0 +1,242 @@
+package operator_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"briarspring"
+	"briarspring/admitter"
+	"briarspring/balancer"
+	"briarspring/dispatcher"
+	"briarspring/encoder"
+	pb "briarspring/gen/briarspring/v1"
+	"briarspring/gen/briarspring/v1/briarspringv1connect"
+	"briarspring/operator"
+	"briarspring/registrar"
+)
+
+var urgent = briarspring.Queue{
+	Name: "urgent", Host: "ledger.example", Prefix: "/urgent/", Service: "pool", Priority: 1, MaxAttempts: 3, Stretch: 1.5,
+	Allowance: 250 * time.Millisecond,
+}
+
+// intake accepts workflows into a registry, or fails.
+type intake struct {
+	registry *registrar.Registry
+	next     uint64
+	err      error
+}
+
+func (i *intake) Queue(name string) (briarspring.Queue, error) {
+	if name != urgent.Name {
+		return briarspring.Queue{}, &briarspring.NotFoundError{Object: "queue/" + name}
+	}
+	return urgent, nil
+}
+
+func (i *intake) Directory() (briarspring.Directory, bool) {
+	return briarspring.Directory{Version: 7, Queues: []briarspring.Queue{urgent}}, i.err == nil
+}
+
+func (i *intake) DataCentres() []balancer.Option {
+	return []balancer.Option{{DataCentre: "tartu", Out: true, BeatAge: 100 * time.Millisecond, Total: 16000, Free: 4000}}
+}
+
+func (i *intake) apply(key string, value []byte) {
+	_, err := i.registry.Apply(0, briarspring.KeyedRecord{Key: key, Value: value, Offset: i.next})
+	if err != nil {
+		panic(err)
+	}
+	i.next++
+}
+
+func (i *intake) Submit(_ context.Context, q briarspring.Queue, w *briarspring.Workflow) error {
+	if i.err != nil {
+		return i.err
+	}
+	w.Queue, w.Stretch, w.Allowance, w.DataCentre, w.Submitted = q.Name, q.Stretch, q.Allowance, "tartu", time.UnixMilli(5000)
+	value, err := encoder.Submission(w)
+	if err != nil {
+		return err
+	}
+	i.apply(registrar.SubmissionKey(w.ID, "1"), value)
+	return nil
+}
+
+func (i *intake) Cancel(_ context.Context, id briarspring.WorkflowID) (bool, error) {
+	if i.err != nil {
+		return false, i.err
+	}
+	if i.registry.Workflow(id) == nil {
+		return false, nil
+	}
+	i.apply(registrar.CancelKey(id), []byte{1})
+	return true, nil
+}
+
+func (i *intake) Waiting(q briarspring.Queue) int { return i.registry.Waiting(q.Name) }
+
+func (i *intake) View(f func(*registrar.Registry)) { f(i.registry) }
+
+// owner has one run of each workflow that is asked for.
+type owner struct{}
+
+func (owner) Runs(id briarspring.WorkflowID) ([]dispatcher.RunInfo, bool) {
+	return []dispatcher.RunInfo{{
+		Run: briarspring.RunRef{Task: briarspring.TaskRef{Workflow: id, Step: 1, Index: 2}, Run: 3}, Worker: "w1", State: "alive",
+		Age: time.Second, Pace: 40, Image: "fold", Tail: 0.5,
+	}}, true
+}
+
+func serve(t *testing.T) (*intake, briarspringv1connect.WorkflowsClient) {
+	i := &intake{registry: registrar.New()}
+	mux := http.NewServeMux()
+	mux.Handle(briarspringv1connect.NewWorkflowsHandler(operator.NewWorkflowServer(i, map[string]operator.Owner{"tartu": owner{}})))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return i, briarspringv1connect.NewWorkflowsClient(http.DefaultClient, server.URL)
+}
+
+func submission(id string) *connect.Request[pb.SubmitWorkflowRequest] {
+	return connect.NewRequest(&pb.SubmitWorkflowRequest{
+		Id: id, Queue: "urgent", Steps: []*pb.WorkflowStep{{Tasks: 2, MilliCpu: 1000, EstimateMs: 800}, {Tasks: 1, MilliCpu: 500, After: []int32{0}}},
+	})
+}
+
+func assertCode(t *testing.T, want connect.Code, err error) {
+	t.Helper()
+	require.Error(t, err)
+	assert.Equal(t, want, connect.CodeOf(err), err.Error())
+}
+
+func TestSubmittingWorkflows(t *testing.T) {
+	t.Run("tells the data centre", func(t *testing.T) {
+		_, client := serve(t)
+		m, err := client.SubmitWorkflow(t.Context(), submission("a"))
+		require.NoError(t, err)
+		assert.Equal(t, "tartu", m.Msg.GetDataCentre())
+	})
+	t.Run("refuses what makes no sense", func(t *testing.T) {
+		_, client := serve(t)
+		_, err := client.SubmitWorkflow(t.Context(), submission("A!"))
+		assertCode(t, connect.CodeInvalidArgument, err)
+		q := submission("a")
+		q.Msg.Steps[1].After = []int32{1}
+		_, err = client.SubmitWorkflow(t.Context(), q)
+		assertCode(t, connect.CodeInvalidArgument, err)
+		q = submission("a")
+		q.Msg.Steps[0].MilliCpu = -1
+		_, err = client.SubmitWorkflow(t.Context(), q)
+		assertCode(t, connect.CodeInvalidArgument, err)
+		q = submission("a")
+		q.Msg.Queue = "none"
+		_, err = client.SubmitWorkflow(t.Context(), q)
+		assertCode(t, connect.CodeNotFound, err)
+	})
+	t.Run("tells a refusal with its time from a doubt", func(t *testing.T) {
+		i, client := serve(t)
+		i.err = &admitter.RefusedError{Reason: "the log is out of reach", RetryAfter: time.Second}
+		_, err := client.SubmitWorkflow(t.Context(), submission("a"))
+		assertCode(t, connect.CodeUnavailable, err)
+		assert.Equal(t, int64(1000), refusal(t, err).GetRetryAfterMs())
+		i.err = &admitter.RefusedError{Reason: "not supported"}
+		_, err = client.SubmitWorkflow(t.Context(), submission("a"))
+		assertCode(t, connect.CodeFailedPrecondition, err)
+		i.err = &briarspring.DoubtError{Call: "store", Cause: context.DeadlineExceeded}
+		_, err = client.SubmitWorkflow(t.Context(), submission("a"))
+		assertCode(t, connect.CodeDeadlineExceeded, err)
+	})
+}
+
+func refusal(t *testing.T, err error) *pb.RefusalDetail {
+	t.Helper()
+	var e *connect.Error
+	require.ErrorAs(t, err, &e)
+	require.Len(t, e.Details(), 1)
+	m, err := e.Details()[0].Value()
+	require.NoError(t, err)
+	return m.(*pb.RefusalDetail)
+}
+
+func TestReadingWorkflows(t *testing.T) {
+	i, client := serve(t)
+	for _, id := range []string{"b", "a", "c"} {
+		_, err := client.SubmitWorkflow(t.Context(), submission(id))
+		require.NoError(t, err)
+	}
+	i.apply(registrar.CancelKey("c"), []byte{1})
+	t.Run("one", func(t *testing.T) {
+		m, err := client.DescribeWorkflow(t.Context(), connect.NewRequest(&pb.DescribeWorkflowRequest{Id: "a"}))
+		require.NoError(t, err)
+		assert.Equal(t, "queued", m.Msg.GetPhase())
+		assert.Equal(t, int32(3), m.Msg.GetTasks())
+		assert.Equal(t, map[string]int32{"tartu": 3}, m.Msg.GetTasksIn())
+		assert.Equal(t, int64(1450), m.Msg.GetObjectiveMs())
+		assert.Len(t, m.Msg.GetSteps(), 2)
+		_, err = client.DescribeWorkflow(t.Context(), connect.NewRequest(&pb.DescribeWorkflowRequest{Id: "none"}))
+		assertCode(t, connect.CodeNotFound, err)
+	})
+	t.Run("many in order, as far as they are asked for", func(t *testing.T) {
+		assertWorkflows(t, client, &pb.ListWorkflowsRequest{}, "a", "b", "c")
+		assertWorkflows(t, client, &pb.ListWorkflowsRequest{Limit: 1}, "a")
+		assertWorkflows(t, client, &pb.ListWorkflowsRequest{Phase: "cancelled"}, "c")
+		assertWorkflows(t, client, &pb.ListWorkflowsRequest{Queue: "other"})
+	})
+	t.Run("queues", func(t *testing.T) {
+		m, err := client.ListQueues(t.Context(), connect.NewRequest(&pb.ListQueuesRequest{}))
+		require.NoError(t, err)
+		assert.Equal(t, uint64(7), m.Msg.GetVersion())
+		require.Len(t, m.Msg.GetQueues(), 1)
+		assert.Equal(t, int32(2), m.Msg.GetQueues()[0].GetWaiting())
+		assert.Equal(t, int64(250), m.Msg.GetQueues()[0].GetAllowanceMs())
+	})
+	t.Run("owners", func(t *testing.T) {
+		m, err := client.ListOwners(t.Context(), connect.NewRequest(&pb.ListOwnersRequest{}))
+		require.NoError(t, err)
+		require.Len(t, m.Msg.GetOwners(), 1)
+		assert.True(t, m.Msg.GetOwners()[0].GetOut())
+		assert.Equal(t, int64(4000), m.Msg.GetOwners()[0].GetFreeMilliCpu())
+	})
+	t.Run("runs", func(t *testing.T) {
+		m, err := client.ListRuns(t.Context(), connect.NewRequest(&pb.ListRunsRequest{Workflow: "a"}))
+		require.NoError(t, err)
+		require.Len(t, m.Msg.GetRuns(), 1)
+		run := m.Msg.GetRuns()[0]
+		assert.Equal(t, "a", run.GetWorkflow())
+		assert.Equal(t, int32(40), run.GetPacePercent())
+		assert.Equal(t, uint32(3), run.GetRun())
+	})
+}
+
+func assertWorkflows(t *testing.T, client briarspringv1connect.WorkflowsClient, q *pb.ListWorkflowsRequest, want ...string) {
+	t.Helper()
+	m, err := client.ListWorkflows(t.Context(), connect.NewRequest(q))
+	require.NoError(t, err)
+	var ids []string
+	for _, w := range m.Msg.GetWorkflows() {
+		ids = append(ids, w.GetId())
+	}
+	assert.Equal(t, want, ids)
+}
+
+func TestCancellingWorkflows(t *testing.T) {
+	i, client := serve(t)
+	_, err := client.SubmitWorkflow(t.Context(), submission("a"))
+	require.NoError(t, err)
+	m, err := client.CancelWorkflows(t.Context(), connect.NewRequest(&pb.CancelWorkflowsRequest{Ids: []string{"a", "none"}}))
+	require.NoError(t, err)
+	assert.Equal(t, []string{"none"}, m.Msg.GetUnknown())
+	assertWorkflows(t, client, &pb.ListWorkflowsRequest{Phase: "cancelled"}, "a")
+	_, err = client.CancelWorkflows(t.Context(), connect.NewRequest(&pb.CancelWorkflowsRequest{}))
+	assertCode(t, connect.CodeInvalidArgument, err)
+	i.err = &admitter.RefusedError{Reason: "the log is out of reach", RetryAfter: time.Second}
+	_, err = client.CancelWorkflows(t.Context(), connect.NewRequest(&pb.CancelWorkflowsRequest{Ids: []string{"a"}}))
+	assertCode(t, connect.CodeUnavailable, err)
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -300,16 +300,34 @@
 
 // Counters returns what the dispatcher of the present term did; false when this
 // process is not the owner.
-func (s *Steward) Counters() (dispatcher.Counters, bool) {
+func (s *Steward) Counters() (c dispatcher.Counters, ok bool) {
+	ok = s.inspect(func(d *dispatcher.Dispatcher) { c = d.Counters() })
+	return c, ok
+}
+
+// Runs returns the runs of a workflow that may be alive, or those of all when
+// the ID is empty; false when this process is not the owner.
+func (s *Steward) Runs(id briarspring.WorkflowID) (list []dispatcher.RunInfo, ok bool) {
+	ok = s.inspect(func(d *dispatcher.Dispatcher) { list = d.Runs(id) })
+	return list, ok
+}
+
+// inspect calls f with the dispatcher of the present term; false when there is
+// none, or it still takes the data centre over.
+func (s *Steward) inspect(f func(*dispatcher.Dispatcher)) bool {
 	s.mu.Lock()
 	t := s.term
 	s.mu.Unlock()
 	if t == nil {
-		return dispatcher.Counters{}, false
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.engine.Counters(), true
+	if t.engine == nil {
+		return false
+	}
+	f(t.engine)
+	return true
 }
 
 // Stop gives the data centre up, so that another host claims it at once. It
--- a/workflow.go
+++ b/workflow.go
@@ -5,6 +5,15 @@
 // WorkflowID names a workflow; its submitter chooses it.
 type WorkflowID string
 
+// NewWorkflowID checks a name that an operator chose, and returns it or an
+// *InvalidError.
+func NewWorkflowID(name string) (WorkflowID, error) {
+	if !nameRe.MatchString(name) {
+		return "", &InvalidError{Object: "workflow/" + name, Reason: "its ID must be 1 to 63 lower-case letters, digits and hyphens"}
+	}
+	return WorkflowID(name), nil
+}
+
 // Workflow is a job of steps that depend on each other, as it was accepted.
 type Workflow struct {
 	ID            WorkflowID
