A host knows every workflow that was accepted before it is asked

An answer that a workflow does not exist now waits for a read that was sent after the question, 1.6 s at most; later, and at once while the log is out of reach, the question is refused. Ruled out: a stop that was lost (none was ordered), transfers, late starts. Left: while the platform's store gives stale answers to reads, a read sent later may still not cover the acceptance.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -33,7 +33,9 @@
 
 // Freshness tells how current a followed stream is.
 type Freshness interface {
-	// Age returns the time since the last successful read was sent.
+	// Fresh returns when the last successful read was sent.
+	Fresh() (time.Duration, bool)
+	// Age returns the time since then.
 	Age() (time.Duration, bool)
 }
 
@@ -58,6 +60,11 @@
 	// retryAfter is what callers are told while the log is out of reach; outages
 	// last seconds, and another host may reach the log.
 	retryAfter = time.Second
+	// catchUpLimit bounds the wait for a read of the shared state: hosts begin one
+	// every 0.2 s, and it waits up to 1 s for a record.
+	catchUpLimit = 1600 * time.Millisecond
+	// catchUpPause between two looks at the last read.
+	catchUpPause = 10 * time.Millisecond
 )
 
 // RefusedError tells that a request was refused and has no effect.
@@ -271,22 +278,48 @@
 
 // Phase returns how far a workflow has come; false for one that does not exist.
 // The error is a *RefusedError while the state is too old to tell.
-func (a *Admitter) Phase(id briarspring.WorkflowID) (phase briarspring.Phase, known bool, err error) {
+func (a *Admitter) Phase(ctx context.Context, id briarspring.WorkflowID) (phase briarspring.Phase, known bool, err error) {
+	if phase, known = a.phase(id); known {
+		return phase, true, nil
+	}
+	// Another host may have accepted it a moment ago.
+	if err := a.catchUp(ctx); err != nil {
+		return 0, false, err
+	}
+	phase, known = a.phase(id)
+	return phase, known, nil
+}
+
+func (a *Admitter) phase(id briarspring.WorkflowID) (phase briarspring.Phase, known bool) {
 	a.config.Replica.View(func(r *registrar.Registry) {
 		if e := r.Workflow(id); e != nil {
 			phase, known = e.Phase(), true
 		}
 	})
-	if !known && !a.Reachable() {
-		return 0, false, &RefusedError{Reason: "the log is out of reach", RetryAfter: retryAfter}
+	return phase, known
+}
+
+// catchUp waits until the state covers everything that was stored before the
+// call. The error is a *RefusedError when that takes too long.
+func (a *Admitter) catchUp(ctx context.Context) error {
+	asked := a.config.Now()
+	ctx, cancel := context.WithTimeout(ctx, catchUpLimit)
+	defer cancel()
+	for a.Reachable() {
+		if fresh, ok := a.config.Reading.Fresh(); ok && fresh >= asked {
+			return nil
+		}
+		if sleeper.For(ctx, catchUpPause) != nil {
+			break
+		}
 	}
-	return phase, known, nil
+	return &RefusedError{Reason: "the shared state is too old to tell", RetryAfter: retryAfter}
 }
 
 // Cancel ends a workflow; false for one that does not exist. Errors are
 // *RefusedError and *briarspring.DoubtError.
 func (a *Admitter) Cancel(ctx context.Context, id briarspring.WorkflowID) (known bool, err error) {
-	phase, known, err := a.Phase(id)
+	phase, known, err := a.Phase(ctx, id)
 	if err != nil || !known || phase.Final() {
 		return known, err
 	}
--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -222,7 +222,7 @@
 // phase returns a workflow's phase as the first host knows it; queued when it
 // does not know it yet, or can't tell.
 func (f *fleet) phase(id briarspring.WorkflowID) briarspring.Phase {
-	phase, _, err := f.host(f.centres[0], 0).intake.Phase(id)
+	phase, _, err := f.host(f.centres[0], 0).intake.Phase(f.t.Context(), id)
 	if err != nil {
 		return briarspring.PhaseQueued
 	}
--- a/assembler/path_test.go
+++ b/assembler/path_test.go
@@ -1,12 +1,14 @@
 package assembler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
 	"briarspring"
+	"briarspring/admitter"
 	"briarspring/imitator"
 )
 
@@ -209,3 +211,35 @@
 		}, tartu)
 	}
 }
+
+// A host answered 'no such workflow' to a cancellation when it had not yet read
+// of a workflow that another host had accepted; the workflow ran on.
+func TestCancellationAtAnotherHost(t *testing.T) {
+	inVirtualTime(t, "right after the acceptance", func(t *testing.T, f *fleet) {
+		for i := range 20 {
+			id := briarspring.WorkflowID(fmt.Sprintf("00000000000001%02x", i))
+			assert.True(t, f.submit(id, lastingStep(1)))
+			for _, h := range f.hosts {
+				phase, known, err := h.intake.Phase(t.Context(), id)
+				assert.NoError(t, err)
+				assert.True(t, known, "%s is not known at %s", id, h.name)
+				assert.False(t, phase.Final())
+			}
+			time.Sleep(37 * time.Millisecond)
+		}
+		assert.True(t, f.submit("0000000000000200", lastingStep(1)))
+		known, err := f.host(viljandi, 1).intake.Cancel(t.Context(), "0000000000000200")
+		assert.NoError(t, err)
+		assert.True(t, known)
+		time.Sleep(time.Second)
+		assert.Zero(t, f.pool.Running(briarspring.TaskRef{Workflow: "0000000000000200"}))
+	}, tartu, viljandi)
+	inVirtualTime(t, "is refused while the log is out of reach", func(t *testing.T, f *fleet) {
+		h := f.host(tartu, 1)
+		f.cutOff(h, true, false, true)
+		time.Sleep(100 * time.Millisecond)
+		_, err := h.intake.Cancel(t.Context(), "0000000000000300")
+		var refused *admitter.RefusedError
+		assert.ErrorAs(t, err, &refused)
+	}, tartu)
+}
