--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -39,6 +39,8 @@
 	broken   []string
 	done     map[briarspring.TaskRef]time.Time // When the end was acknowledged.
 	failures map[briarspring.TaskRef]int
+	finished map[briarspring.TaskRef]bool // Tasks of which a run has ended done.
+	started  map[briarspring.WorkflowID]bool
 	account  PoolAccount
 }
 
@@ -69,6 +71,7 @@
 	return &Pool{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, c.Seed+1)), workers: map[string]*poolWorker{},
 		cut: map[[2]string]bool{}, done: map[briarspring.TaskRef]time.Time{}, failures: map[briarspring.TaskRef]int{},
+		finished: map[briarspring.TaskRef]bool{}, started: map[briarspring.WorkflowID]bool{},
 	}
 }
 
@@ -153,18 +156,43 @@
 }
 
 // Running returns the number of runs of a task that are alive.
-func (p *Pool) Running(t briarspring.TaskRef) int {
+func (p *Pool) Running(t briarspring.TaskRef) int { return len(p.Where(t)) }
+
+// Where returns the workers on which runs of a task are alive.
+func (p *Pool) Where(t briarspring.TaskRef) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, w := range p.workers {
+	var list []string
+	for id, w := range p.workers {
 		for ref := range w.runs {
 			if ref.Task == t {
-				n++
+				list = append(list, fmt.Sprintf("%s (run %d)", id, ref.Run))
 			}
 		}
 	}
-	return n
+	slices.Sort(list)
+	return list
+}
+
+// Finished reports whether a run of a task has ended done.
+func (p *Pool) Finished(t briarspring.TaskRef) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.finished[t]
+}
+
+// Failures returns how many runs of a task have failed.
+func (p *Pool) Failures(t briarspring.TaskRef) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failures[t]
+}
+
+// Started reports whether any task of a workflow has begun.
+func (p *Pool) Started(id briarspring.WorkflowID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started[id]
 }
 
 // RunsOn reports whether a run of a task is alive on a worker.
@@ -222,8 +250,11 @@
 	w.number++
 	w.highest[ref.Task] = max(w.highest[ref.Task], ref.Run)
 	w.ended = append(w.ended, briarspring.EndedTask{Number: w.number, Run: ref, End: how, Checkpoint: checkpoint})
-	if how == briarspring.RunFailed {
+	switch how {
+	case briarspring.RunFailed:
 		p.failures[ref.Task]++
+	case briarspring.RunDone:
+		p.finished[ref.Task] = true
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -373,6 +404,7 @@
 	w.renew(o.Until)
 	p.check(w, o.Run)
 	p.account.Starts++
+	p.started[o.Run.Task.Workflow] = true
 	work, how := p.config.Plan(o.Run)
 	_, step := p.config.Spec(o.Run.Task)
 	r := newPoolRun(o.Checkpoint, work, step)
