--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -18,7 +18,7 @@
 	// beatCalls is how many calls to the log a beat may be late for.
 	beatCalls = 4
 	// remoteSilence lets hosts of other data centres claim, after all local ones
-	// could claim and before leases of 5 s lapse.
+	// could claim and before leases of 5.5 s lapse.
 	remoteSilence = 3600 * time.Millisecond
 	// spread of claims over hosts, so that few claim at once.
 	spread = 600 * time.Millisecond
@@ -29,6 +29,15 @@
 	// returnAfter is how long a host must have read the log without a gap before
 	// it takes its data centre back from another one's host.
 	returnAfter = 2500 * time.Millisecond
+	// strongRemoteDelay after localSilence lets large hosts of other data centres
+	// claim, before small local ones, which can't renew the leases of a hundred
+	// workers.
+	strongRemoteDelay = 900 * time.Millisecond
+	// strongRemoteWait is the same for a data centre without an owner; a large local
+	// host that begins a new life is back within that time or not soon.
+	strongRemoteWait = 500 * time.Millisecond
+	// weakWait of a small host for a data centre without an owner.
+	weakWait = 1500 * time.Millisecond
 	// shares is the number of different delays that names of hosts give.
 	shares = 16
 	// maxReadAge of the state on which a claim may be based.
@@ -40,10 +49,12 @@
 	Now         time.Duration
 	Host        string
 	Local       bool // The host is in the data centre.
-	Weak        bool // Larger hosts of the data centre should claim first.
+	Weak        bool // Hosts that are much larger are known.
+	Mixed       bool // Hosts of very different sizes are known.
 	Owner       string
 	Token       uint64        // Of the claim in force; zero when there never was one.
 	OwnerLocal  bool          // The owner is in the data centre.
+	OwnerWeak   bool          // Hosts that are much larger than the owner are known.
 	LastBeat    time.Duration // When the owner's last sign of life was read.
 	ClaimedAt   time.Duration // When the claim in force was read.
 	LastRead    time.Duration // When the last successful read was sent.
@@ -61,10 +72,6 @@
 	if s.LastAttempt != 0 && s.Now-s.LastAttempt < retryAfter {
 		return false, ""
 	}
-	delay := share(s.Host, spread)
-	if s.Weak {
-		delay += spread
-	}
 	// Hosts of the data centre come first after a restart, too.
 	vacant := s.Token == 0 || s.Owner == "" || s.Restarted && s.Local
 	if vacant {
@@ -73,36 +80,65 @@
 	// A beat goes through two calls, and waits for the one before it. While the log
 	// could not be read nobody could beat.
 	silence := s.LastRead - max(s.LastBeat, s.ClaimedAt, s.ReadSince) - beatCalls*s.StoreDelay
-	switch {
-	case s.Local && silence > localSilence+delay:
-		return true, "the owner is silent"
-	case !s.Local && silence > remoteSilence+delay:
+	if silence > patience(s)+share(s.Host, spread) {
+		if s.Local {
+			return true, "the owner is silent"
+		}
 		return true, "the owner is silent and no host of its data centre claims"
-	case s.Local && !s.OwnerLocal && s.Now-s.ReadSince > returnAfter+delay:
+	}
+	if !s.Local || s.Weak || s.Now-s.ReadSince <= returnAfter+share(s.Host, spread) {
+		return false, ""
+	}
+	switch {
+	case !s.OwnerLocal:
 		return true, "the owner is in another data centre"
+	case s.OwnerWeak:
+		return true, "the owner is a small host"
 	}
 	return false, ""
 }
 
+// patience returns the silence of an owner after which a host may claim.
+func patience(s Situation) time.Duration {
+	switch {
+	case s.Local && !s.Weak:
+		return localSilence
+	case s.Mixed && !s.Weak:
+		return localSilence + strongRemoteDelay
+	case s.Local || !s.Weak:
+		return remoteSilence
+	}
+	return remoteSilence + spread
+}
+
 // vacantClaim decides about a data centre that certainly has no owner.
 func vacantClaim(s Situation) (bool, string) {
-	wait := share(s.Host, startSpread)
-	if s.Weak {
-		wait += startSpread
-	}
-	if !s.Local {
-		wait = remoteSilence + share(s.Host, spread)
-	}
 	since := s.Now - max(s.ReadSince, s.ClaimedAt)
 	if s.Restarted {
 		since = s.Now - s.ReadSince
 	}
-	if since >= wait {
+	if since >= vacantWait(s) {
 		return true, "there is no owner"
 	}
 	return false, ""
 }
 
+// vacantWait returns how long a host leaves a data centre without an owner to
+// others.
+func vacantWait(s Situation) time.Duration {
+	switch {
+	case s.Local && !s.Weak:
+		return share(s.Host, startSpread)
+	case s.Mixed && !s.Weak:
+		return strongRemoteWait + share(s.Host, startSpread)
+	case s.Local:
+		return weakWait + share(s.Host, spread)
+	case s.Weak:
+		return remoteSilence + spread + share(s.Host, spread)
+	}
+	return remoteSilence + share(s.Host, spread)
+}
+
 // share returns a part of d that depends on the host's name alone.
 func share(host string, d time.Duration) time.Duration {
 	h := fnv.New32a()
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -78,3 +78,60 @@
 		assertClaims(t, false, s)
 	})
 }
+
+// In deployments with a few large hosts and many small ones, small hosts took
+// data centres over that large ones had just given up, and could not renew the
+// leases of their workers.
+func TestSmallHosts(t *testing.T) {
+	small := func(s claimer.Situation) claimer.Situation {
+		s.Weak, s.Mixed = true, true
+		return s
+	}
+	large := func(s claimer.Situation) claimer.Situation {
+		s.Mixed = true
+		return s
+	}
+	vacant := func(since time.Duration) claimer.Situation {
+		s := healthy(60 * second)
+		s.Owner, s.LastBeat, s.ClaimedAt = "", 0, s.Now-since
+		return s
+	}
+	elsewhere := func(s claimer.Situation) claimer.Situation {
+		s.Local, s.OwnerLocal = false, false
+		return s
+	}
+	t.Run("leave a data centre without an owner to large ones, also of others", func(t *testing.T) {
+		assertClaims(t, true, large(vacant(200*time.Millisecond)))
+		assertClaims(t, false, small(vacant(time.Second)))
+		assertClaims(t, false, elsewhere(large(vacant(200*time.Millisecond))))
+		assertClaims(t, true, elsewhere(large(vacant(700*time.Millisecond))))
+		assertClaims(t, true, small(vacant(2200*time.Millisecond)))
+	})
+	t.Run("wait longer for a silent owner", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.LastBeat = s.Now - 3400*time.Millisecond
+		assertClaims(t, true, large(s))
+		assertClaims(t, true, elsewhere(large(s)))
+		assertClaims(t, false, small(s))
+		s.LastBeat = s.Now - 4300*time.Millisecond
+		assertClaims(t, true, small(s))
+		assertClaims(t, false, elsewhere(small(s)))
+	})
+	t.Run("are replaced by a large one of the data centre", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.OwnerWeak = true
+		assertClaims(t, true, large(s))
+		assertClaims(t, false, small(s))
+		assertClaims(t, false, elsewhere(large(s)))
+	})
+	t.Run("do not take back from a large one elsewhere", func(t *testing.T) {
+		s := healthy(60 * second)
+		s.OwnerLocal = false
+		assertClaims(t, true, large(s))
+		assertClaims(t, false, small(s))
+	})
+	t.Run("take nothing from others where all are alike", func(t *testing.T) {
+		assertClaims(t, false, elsewhere(vacant(700*time.Millisecond)))
+		assertClaims(t, true, elsewhere(vacant(4300*time.Millisecond)))
+	})
+}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -282,6 +282,14 @@
 		s.hold("w1")
 		assert.Equal(t, 1, count(starts(s.plan())))
 	})
+	t.Run("asks each worker for an answer at once", func(t *testing.T) {
+		s := begin(t)
+		first, _ := s.d.Hold(s.now, "w0")
+		assert.Zero(t, first.Wait)
+		s.hold("w0")
+		next, _ := s.d.Hold(s.now, "w0")
+		assert.Positive(t, next.Wait)
+	})
 	t.Run("starts what was submitted after the claim at once", func(t *testing.T) {
 		s := begin(t)
 		s.hold("w0")
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -23,10 +23,13 @@
 	if w == nil {
 		return briarspring.HoldRequest{}, false
 	}
-	h := briarspring.HoldRequest{Token: d.config.Token, Wait: w.wait()}
+	h := briarspring.HoldRequest{Token: d.config.Token}
 	if !w.fenced {
+		// Nothing of the earlier owner's time starts before every worker has
+		// answered, so the first answer does not wait for an end.
 		return h, true
 	}
+	h.Wait = w.wait()
 	if w.newLife {
 		// A lease that is renewed without an answer would never be over.
 		h.Until = w.until
--- a/registrar/owner.go
+++ b/registrar/owner.go
@@ -73,16 +73,16 @@
 	return p, ok
 }
 
-// Strongest returns the processors of the largest host of a data centre, in
-// thousandths of a core.
-func (r *Registry) Strongest(dataCentre string) int {
-	most := 0
+// HostSizes returns the processors of the smallest and the largest host that is
+// known, in thousandths of a core; zero when none is.
+func (r *Registry) HostSizes() (least, most int) {
 	for _, p := range r.hosts {
-		if p.DataCentre == dataCentre {
-			most = max(most, p.MilliCPU)
+		if least == 0 || p.MilliCPU < least {
+			least = p.MilliCPU
 		}
+		most = max(most, p.MilliCPU)
 	}
-	return most
+	return least, most
 }
 
 // EarlierGone returns when it was known that no earlier owner of a data centre
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -104,6 +104,9 @@
 	// maxUnreachable is how long an owner goes on without the log. Outages of up
 	// to 9 s occur; a successor waits as long before it counts on the owner's end.
 	maxUnreachable = 12 * time.Second
+	// muchLarger is the ratio of processors from which duties are left to the larger
+	// hosts; an owner of 116 workers was measured at up to 0.66 of a core.
+	muchLarger = 3
 	// writeTimeout of a claim and of a beat.
 	writeTimeout = 1500 * time.Millisecond
 )
@@ -271,13 +274,16 @@
 	}
 	s.config.Replica.View(func(r *registrar.Registry) {
 		claim := r.Claim(s.config.DataCentre)
+		least, most := r.HostSizes()
 		sit.Owner, sit.Token = claim.Owner, claim.Token
 		sit.LastBeat = r.Beat(s.config.DataCentre).At
 		if p, ok := r.Host(claim.Owner); ok {
 			sit.OwnerLocal = p.DataCentre == s.config.DataCentre
+			sit.OwnerWeak = p.MilliCPU*muchLarger < most
 			sit.Restarted = p.Incarnation > claim.Incarnation
 		}
-		sit.Weak = r.Strongest(s.config.DataCentre) > s.config.MilliCPU
+		sit.Weak = s.config.MilliCPU*muchLarger < most
+		sit.Mixed = least*muchLarger < most
 		if claim.Owner == s.config.Host && claim.Incarnation == s.config.Incarnation {
 			// The term has ended, so the data centre has no owner.
 			sit.Restarted = true
