--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -57,9 +57,6 @@
 	staleAge = 2200 * time.Millisecond
 	// retryPause between two tries to store an acceptance.
 	retryPause = 60 * time.Millisecond
-	// retryAfter is what callers are told while the log is out of reach; outages
-	// last seconds, and another host may reach the log.
-	retryAfter = time.Second
 	// catchUpLimit bounds the wait for a read of the shared state: hosts begin one
 	// every 0.2 s, and it waits up to 1 s for a record.
 	catchUpLimit = 1600 * time.Millisecond
@@ -105,6 +102,15 @@
 	return ok && age < staleAge
 }
 
+// retryAfter returns when a refused caller should try again.
+func (a *Admitter) retryAfter() time.Duration {
+	age, ok := a.config.Reading.Age()
+	if !ok {
+		return leastRetry
+	}
+	return retryAfter(age)
+}
+
 // Ready reports whether this host can accept work, and else why not.
 func (a *Admitter) Ready() (bool, string) {
 	if _, ok := a.config.Catalogue.Directory(); !ok {
@@ -122,7 +128,7 @@
 func (a *Admitter) Find(host, path string) (queue briarspring.Queue, rest string, err error) {
 	directory, ok := a.config.Catalogue.Directory()
 	if !ok {
-		return briarspring.Queue{}, "", &RefusedError{Reason: "no directory was read yet", RetryAfter: retryAfter}
+		return briarspring.Queue{}, "", &RefusedError{Reason: "no directory was read yet", RetryAfter: leastRetry}
 	}
 	found := false
 	for _, q := range directory.Queues {
@@ -141,7 +147,7 @@
 func (a *Admitter) Queue(name string) (briarspring.Queue, error) {
 	directory, ok := a.config.Catalogue.Directory()
 	if !ok {
-		return briarspring.Queue{}, &RefusedError{Reason: "no directory was read yet", RetryAfter: retryAfter}
+		return briarspring.Queue{}, &RefusedError{Reason: "no directory was read yet", RetryAfter: leastRetry}
 	}
 	for _, q := range directory.Queues {
 		if q.Name == name {
@@ -240,9 +246,9 @@
 	case len(w.Steps) == 0:
 		return &RefusedError{Reason: "the workflow has no steps"}
 	case !a.Reachable():
-		return &RefusedError{Reason: "the log is out of reach", RetryAfter: retryAfter}
+		return &RefusedError{Reason: "the log is out of reach", RetryAfter: a.retryAfter()}
 	case w.DataCentre == "":
-		return &RefusedError{Reason: "no data centre is in service", RetryAfter: retryAfter}
+		return &RefusedError{Reason: "no data centre is in service", RetryAfter: a.retryAfter()}
 	}
 	return nil
 }
@@ -264,7 +270,7 @@
 			return nil
 		}
 		if !doubt && !a.Reachable() {
-			return &RefusedError{Reason: "the log is out of reach", RetryAfter: retryAfter}
+			return &RefusedError{Reason: "the log is out of reach", RetryAfter: a.retryAfter()}
 		}
 		if sleeper.For(ctx, retryPause) == nil {
 			continue
@@ -272,7 +278,7 @@
 		if doubt {
 			return &briarspring.DoubtError{Call: "store a decision on " + string(id), Cause: err}
 		}
-		return &RefusedError{Reason: refused.Reason, RetryAfter: retryAfter}
+		return &RefusedError{Reason: refused.Reason, RetryAfter: a.retryAfter()}
 	}
 }
 
@@ -313,7 +319,7 @@
 			break
 		}
 	}
-	return &RefusedError{Reason: "the shared state is too old to tell", RetryAfter: retryAfter}
+	return &RefusedError{Reason: "the shared state is too old to tell", RetryAfter: a.retryAfter()}
 }
 
 // Cancel ends a workflow; false for one that does not exist. Errors are
