A server that stops answers every request that it has read

The host and the gateway now end the reads of idle connections one by one, serve what has arrived, and shut down when none is open. Ruled out: the listener's backlog (the request was read), a time-out (0.4 s).

--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -86,8 +86,8 @@
 
 // callersPart takes callers' requests.
 type callersPart struct {
-	listener  net.Listener
 	server    *http.Server
+	guard     *connGuard
 	forwarder *forwarder.Forwarder
 	admin     *monitor.Monitor
 	logger    hclog.Logger
@@ -102,12 +102,12 @@
 	if err != nil {
 		return nil, err
 	}
+	server := &http.Server{
+		Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: int(g.MaxHeader),
+	}
 	return &callersPart{
-		listener: netutil.LimitListener(listener, int(g.MaxConnections)),
-		server: &http.Server{
-			Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-			MaxHeaderBytes: int(g.MaxHeader),
-		},
+		server: server, guard: guardConnections(server, netutil.LimitListener(listener, int(g.MaxConnections))),
 		forwarder: f, admin: admin, logger: logger, notice: g.NoticeTime, done: make(chan struct{}),
 	}, nil
 }
@@ -116,7 +116,7 @@
 func (p *callersPart) Run(ctx context.Context) {
 	defer close(p.done)
 	context.AfterFunc(ctx, func() { p.server.Close() })
-	p.server.Serve(p.listener) //nolint:errcheck // Ends with Close or Shutdown.
+	p.server.Serve(p.guard) //nolint:errcheck // Ends with Close or the drain.
 	<-ctx.Done()
 }
 
@@ -128,16 +128,19 @@
 func (p *callersPart) Stop(giveUp <-chan struct{}) {
 	p.admin.Drain()
 	p.forwarder.Drain()
-	stopServer(p.server, p.notice, giveUp, p.logger)
+	stopServer(p.server, p.guard, p.notice, giveUp, p.logger)
 }
 
 // stopServer goes on serving until the balancer has noticed that the host is not
 // ready, and then lets the requests in flight finish.
-func stopServer(server *http.Server, notice time.Duration, giveUp <-chan struct{}, logger hclog.Logger) {
+func stopServer(server *http.Server, guard *connGuard, notice time.Duration, giveUp <-chan struct{}, logger hclog.Logger) {
 	ctx, cancel := launcher.GiveUpContext(giveUp)
 	defer cancel()
 	// A stop that is given up during the notice ends with the shutdown below.
 	_ = sleeper.For(ctx, notice)
+	if err := guard.drain(server, giveUp); err != nil {
+		logger.Warn("the port is closed already", "error", err)
+	}
 	if err := server.Shutdown(ctx); err != nil {
 		logger.Error("requests were cut off by the stop", "error", err)
 		return
--- /dev/null
+++ b/assembler/guard_test.go
@@ -0,0 +1,89 @@
+package assembler
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// slowListener hands out connections whose reads take a while to return, as on a
+// host whose processor is busy.
+type slowListener struct {
+	net.Listener
+	read chan struct{} // Has a value when bytes were read that are not handed on yet.
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &slowConn{Conn: c, read: l.read}, err
+}
+
+type slowConn struct {
+	net.Conn
+	read chan struct{}
+}
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		select {
+		case c.read <- struct{}{}:
+		default:
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return n, err
+}
+
+// ask sends a request on a kept connection and returns the status of the answer;
+// zero for none.
+func ask(conn net.Conn, r *bufio.Reader) int {
+	if _, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// A host that was stopped closed a kept connection as idle when it had read a
+// request on it and not looked at it yet; the caller got no answer.
+func TestStopWithARequestJustRead(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	slow := &slowListener{Listener: inner, read: make(chan struct{}, 1)}
+	server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusNoContent) })}
+	guard := guardConnections(server, slow)
+	go server.Serve(guard) //nolint:errcheck // Ends with the stop.
+	busy, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer busy.Close()
+	idle, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer idle.Close()
+	answers, idleAnswers := bufio.NewReader(busy), bufio.NewReader(idle)
+	require.Equal(t, http.StatusNoContent, ask(busy, answers))
+	require.Equal(t, http.StatusNoContent, ask(idle, idleAnswers))
+	for len(slow.read) > 0 {
+		<-slow.read
+	}
+	status := make(chan int, 1)
+	go func() { status <- ask(busy, answers) }()
+	<-slow.read
+	stopServer(server, guard, 0, make(chan struct{}), hclog.NewNullLogger())
+	assert.Equal(t, http.StatusNoContent, <-status, "the request was read before the stop")
+	_, err = idleAnswers.ReadByte()
+	assert.Error(t, err, "the idle connection is closed")
+	_, err = answers.ReadByte()
+	assert.Error(t, err, "and the other one after its answer")
+}
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -199,8 +199,8 @@
 
 // frontPart serves callers. When it stops, requests in flight are answered.
 type frontPart struct {
-	listener net.Listener
 	server   *http.Server
+	guard    *connGuard
 	stopping atomic.Bool
 	logger   hclog.Logger
 	done     chan struct{}
@@ -221,9 +221,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &frontPart{listener: listener, logger: logger, done: make(chan struct{}), server: &http.Server{
+	server := &http.Server{
 		Handler: h, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle, MaxHeaderBytes: maxCallerHeader,
-	}}, nil
+	}
+	return &frontPart{server: server, guard: guardConnections(server, listener), logger: logger, done: make(chan struct{})}, nil
 }
 
 // Done returns a channel that is closed when Run has ended.
@@ -233,7 +234,7 @@
 func (p *frontPart) Run(ctx context.Context) {
 	defer close(p.done)
 	context.AfterFunc(ctx, func() { p.server.Close() })
-	p.server.Serve(p.listener) //nolint:errcheck // Ends with Close or Shutdown.
+	p.server.Serve(p.guard) //nolint:errcheck // Ends with Close or the drain.
 	<-ctx.Done()
 }
 
@@ -246,5 +247,5 @@
 // finishes the requests in flight.
 func (p *frontPart) Stop(giveUp <-chan struct{}) {
 	p.stopping.Store(true)
-	stopServer(p.server, noticeTime, giveUp, p.logger)
+	stopServer(p.server, p.guard, noticeTime, giveUp, p.logger)
 }
