One listing of workers' entries, named figures of the soak, one condition for starts

Cause: reading the change as a newcomer. Ruled out: nothing here changes a decision, a check or a bound; the soak's failing runs are drawn by another hash of the same share.

--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -104,7 +104,7 @@
 			f.start(centre, i)
 		}
 	}
-	listing := imitator.NewListing(f.pool, f.store, hclog.NewNullLogger())
+	listing := imitator.NewListing(imitator.ListingConfig{Pool: f.pool, Store: f.store})
 	f.duties.Go(func() { listing.Run(ctx) })
 	time.Sleep(3 * time.Second)
 	return f
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -3,7 +3,8 @@
 //
 // It answers owners that die, freeze, stop or lose the log: hosts of the data
 // centre claim it after a short silence, hosts of others after a longer one,
-// and a host of the data centre takes it back.
+// and a host of the data centre takes it back. Where hosts differ much in size,
+// small ones leave data centres to large ones, also to those of others.
 package claimer
 
 import (
--- a/demonstrator/workflows.go
+++ b/demonstrator/workflows.go
@@ -46,7 +46,7 @@
 	}
 	s.pool = imitator.NewPool(imitator.PoolConfig{Seed: 1, Latency: orderLatency, Plan: s.plan, Spec: s.spec, Press: s.press})
 	s.store.SetFaults(imitator.KeyedFaults{Latency: storeLatency})
-	s.listing = imitator.NewListing(s.pool, s.store, s.logger)
+	s.listing = imitator.NewListing(imitator.ListingConfig{Pool: s.pool, Store: s.store, Logger: s.logger})
 	directory, err := imitator.DirectoryRecord(briarspring.Directory{Version: 1, Queues: c.Firm.queues()})
 	if err != nil {
 		return nil, err
@@ -119,7 +119,7 @@
 	return step.Estimate, briarspring.RunDone
 }
 
-// press is the truth about which image presses which.
+// press returns how much an image really presses another one.
 func (s *workflows) press(serving, filling string) float64 {
 	if serving == imageServing && filling == imagePressing {
 		return pressRise
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -21,7 +21,7 @@
 	b := briarspring.OwnerBeat{Token: d.config.Token, Rooms: map[string]int64{}}
 	waiting := d.waitingByImage()
 	for _, w := range d.order {
-		if !w.usable(d.now) || !w.trusted(d.now) {
+		if !w.takesStarts(d.now) {
 			continue
 		}
 		b.Total += w.entry.Capacity.MilliCPU()
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -240,7 +240,7 @@
 // eligible reports whether a task may run on a worker, room aside.
 func (d *Dispatcher) eligible(t *task, w *worker) bool {
 	spec := t.step.spec()
-	if w.entry.Service != t.step.job.workflow.Service || !w.usable(d.now) || !w.trusted(d.now) {
+	if w.entry.Service != t.step.job.workflow.Service || !w.takesStarts(d.now) {
 		return false
 	}
 	if spec.Requirement != "" && !slices.Contains(w.entry.Labels, spec.Requirement) {
--- a/dispatcher/trust.go
+++ b/dispatcher/trust.go
@@ -25,6 +25,9 @@
 	return now >= w.aside && w.probing == nil
 }
 
+// takesStarts reports whether the worker may get starts at present.
+func (w *worker) takesStarts(now time.Duration) bool { return w.usable(now) && w.trusted(now) }
+
 // failedOn counts failures in a row and sets the worker aside after some.
 func (d *Dispatcher) failedOn(w *worker, r *run) {
 	w.streak++
--- a/imitator/listing.go
+++ b/imitator/listing.go
@@ -19,16 +19,28 @@
 
 // Listing keeps the entries of a Pool's workers in a KeyedStore.
 type Listing struct {
-	pool   *Pool
-	store  *KeyedStore
-	logger hclog.Logger
+	config ListingConfig
 	seen   map[string]time.Time // When a worker was last up.
 	done   chan struct{}
 }
 
+// ListingConfig holds the settings of a Listing.
+type ListingConfig struct {
+	Pool   *Pool
+	Store  *KeyedStore
+	Encode func(briarspring.WorkerEntry) (briarspring.KeyedRecord, error) // Nil for WorkerRecord.
+	Logger hclog.Logger
+}
+
 // NewListing returns a listing; Run keeps it up to date.
-func NewListing(p *Pool, s *KeyedStore, logger hclog.Logger) *Listing {
-	return &Listing{pool: p, store: s, logger: logger, seen: map[string]time.Time{}, done: make(chan struct{})}
+func NewListing(c ListingConfig) *Listing {
+	if c.Encode == nil {
+		c.Encode = WorkerRecord
+	}
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	return &Listing{config: c, seen: map[string]time.Time{}, done: make(chan struct{})}
 }
 
 // Done returns a channel that is closed when Run has ended.
@@ -49,19 +61,19 @@
 // that have been silent for too long.
 func (l *Listing) write() {
 	now := time.Now()
-	for _, e := range l.pool.Entries() {
-		record, err := WorkerRecord(e)
+	for _, e := range l.config.Pool.Entries() {
+		record, err := l.config.Encode(e)
 		if err != nil {
-			l.logger.Error("entry can't be encoded", "worker", e.ID, "error", err)
+			l.config.Logger.Error("entry can't be encoded", "worker", e.ID, "error", err)
 			continue
 		}
 		l.seen[e.ID] = now
-		l.store.Put(briarspring.WorkersStream, record)
+		l.config.Store.Put(briarspring.WorkersStream, record)
 	}
 	for id, at := range l.seen {
 		if now.Sub(at) > entryLife {
 			delete(l.seen, id)
-			l.store.Put(briarspring.WorkersStream, briarspring.KeyedRecord{Key: id})
+			l.config.Store.Put(briarspring.WorkersStream, briarspring.KeyedRecord{Key: id})
 		}
 	}
 }
--- a/imitator/poolrun.go
+++ b/imitator/poolrun.go
@@ -9,6 +9,10 @@
 const (
 	// fullPace is the pace in percent at which a run begins.
 	fullPace = 100
+	// atWork is the percent that is told of a lasting task, wholeWork that of a task
+	// that has done all its work.
+	atWork    = 100
+	wholeWork = 100
 	// calmTail is the tail of a task that serves while nothing presses it, as a
 	// share of its target.
 	calmTail = 0.4
@@ -64,10 +68,10 @@
 // percent returns the progress of the work; a lasting task is always at work.
 func (r *poolRun) percent() int {
 	if r.work == 0 {
-		return 100
+		return atWork
 	}
 	r.advance()
-	return int(100 * (r.work - max(0, r.left)) / r.work)
+	return int(wholeWork * (r.work - max(0, r.left)) / r.work)
 }
 
 // usage returns the rough figure that a worker reports of a run: the tail in
