Workflows that recur, gangs, one rack, bounds on missing tasks

Cause: submissions with repetitions or gangs were refused with 503, and sameRack and mayMiss were not read. Deployments of the described kinds may use them, and each refusal is a caller who is not served.

A recurrence unrolls the steps of all its occurrences; positions of tasks, and with them progress and transfers, stay as they are. A gang gets room for all members or none and one run number; a member without a run, or one that stops, has the rest stopped. Gangs look for one rack first when they are better off there, at most for the time that their tasks take. Lasting tasks are moved off draining workers within max-missing; nothing else stops a sound one.

Ruled out: replacing one member under the same number (a worker bars a run that was stopped there); starting members as room appears (they would hold workers without working and end alone); materializing occurrences when they are due (positions would have to be assigned anew by each owner).

Queues with an advisory service are still refused.

--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -24,6 +24,7 @@
 type history struct {
 	*fleet
 	random    *rand.Rand
+	kinds     *rand.Rand // Chooses gangs and recurrences; nil for none.
 	accepted  []briarspring.WorkflowID
 	cancelled map[briarspring.WorkflowID]bool
 	down      map[string]bool // Workers that crashed.
@@ -170,14 +171,23 @@
 			if i > 0 {
 				s.After = []int{h.random.IntN(i)}
 			}
+			s.Gang = h.kinds != nil && h.kinds.IntN(3) == 0
+			s.OneRack = s.Gang && h.kinds.IntN(2) == 0
 			steps = append(steps, s)
 		}
 	}
 	if h.random.IntN(4) == 0 {
 		h.failing[briarspring.TaskRef{Workflow: id}] = 1 + h.random.IntN(2)
 	}
-	ok := h.submit(id, steps...)
-	h.note("submit %s accepted %t lasting %t", id, ok, steps[0].Lasting)
+	recurrence := briarspring.Recurrence{}
+	if h.kinds != nil && !steps[0].Lasting && h.kinds.IntN(4) == 0 {
+		recurrence = briarspring.Recurrence{
+			Times: 1 + h.kinds.IntN(4), First: time.Now().Add(time.Duration(h.kinds.Int64N(int64(4 * time.Second)))),
+			Interval: time.Duration(h.kinds.Int64N(int64(3 * time.Second))),
+		}
+	}
+	ok := h.submitRecurring(id, recurrence, steps...)
+	h.note("submit %s accepted %t lasting %t occurrences %d", id, ok, steps[0].Lasting, recurrence.Times)
 	if ok {
 		h.accepted = append(h.accepted, id)
 	}
@@ -196,12 +206,13 @@
 func TestHistories(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+*histories; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runHistory(t, uint64(seed)) })
+			synctest.Test(t, func(t *testing.T) { runHistory(t, uint64(seed), rand.New(rand.NewPCG(uint64(seed), 8))) })
 		})
 	}
 }
 
-// regressions are seeds that failed once, with the cause.
+// regressions are seeds that failed once, with the cause, before histories knew
+// gangs and recurrences.
 var regressions = map[uint64]string{
 	264:  "a worker that was reborn held a longer lease than its owner reckoned with",
 	2373: "a task came back to a data centre while its workflow's dropping was being stored",
@@ -210,14 +221,14 @@
 func TestRegressions(t *testing.T) {
 	for seed, cause := range regressions {
 		t.Run(fmt.Sprintf("%d %s", seed, cause), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runHistory(t, seed) })
+			synctest.Test(t, func(t *testing.T) { runHistory(t, seed, nil) })
 		})
 	}
 }
 
-func runHistory(t *testing.T, seed uint64) {
+func runHistory(t *testing.T, seed uint64, kinds *rand.Rand) {
 	h := &history{
-		fleet: newFleet(t, seed, tartu, viljandi), random: rand.New(rand.NewPCG(seed, 7)),
+		fleet: newFleet(t, seed, tartu, viljandi), random: rand.New(rand.NewPCG(seed, 7)), kinds: kinds,
 		cancelled: map[briarspring.WorkflowID]bool{}, down: map[string]bool{},
 	}
 	defer h.end()
--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -202,14 +202,18 @@
 
 // submit hands a workflow in at a host and at others until it is accepted.
 func (f *fleet) submit(id briarspring.WorkflowID, steps ...briarspring.Step) bool {
+	return f.submitRecurring(id, briarspring.Recurrence{}, steps...)
+}
+
+func (f *fleet) submitRecurring(id briarspring.WorkflowID, r briarspring.Recurrence, steps ...briarspring.Step) bool {
 	f.mu.Lock()
-	f.workflows[id] = &briarspring.Workflow{ID: id, Steps: steps, MaxAttempts: testQueue.MaxAttempts}
+	f.workflows[id] = &briarspring.Workflow{ID: id, Steps: steps, MaxAttempts: testQueue.MaxAttempts, Recurrence: r}
 	f.mu.Unlock()
 	for try := range 6 {
 		names := slices.Sorted(maps.Keys(f.hosts))
 		h := f.hosts[names[(int(id[len(id)-1])+try)%len(names)]]
 		ctx, cancel := context.WithTimeout(f.t.Context(), 2500*time.Millisecond)
-		err := h.intake.Submit(ctx, testQueue, &briarspring.Workflow{ID: id, Steps: slices.Clone(steps)})
+		err := h.intake.Submit(ctx, testQueue, &briarspring.Workflow{ID: id, Steps: slices.Clone(steps), Recurrence: r})
 		cancel()
 		if err == nil {
 			return true
--- a/cmd/briarspring/ctl_workflow.go
+++ b/cmd/briarspring/ctl_workflow.go
@@ -53,7 +53,8 @@
 	}
 	s := ctl.session()
 	m, err := change(s, ctl.workflows().SubmitWorkflow, &pb.SubmitWorkflowRequest{
-		Id: string(w.ID), Queue: w.Queue, Specification: w.Specification, Steps: encoder.EncodeSteps(w.Steps),
+		Recurrence: encoder.EncodeRecurrence(w.Recurrence),
+		Id:         string(w.ID), Queue: w.Queue, Specification: w.Specification, Steps: encoder.EncodeSteps(w.Steps),
 	})
 	if err != nil {
 		return err
@@ -117,12 +118,21 @@
 		row(w, "submitted", time.UnixMilli(m.GetSubmittedMs()).Format(time.RFC3339))
 		row(w, "objective", milliseconds(m.GetObjectiveMs()))
 		row(w, "runs in", tasksIn(m))
+		if r := m.GetRecurrence(); r != nil {
+			row(w, "occurrences", recurrenceText(r))
+		}
 		for i, step := range m.GetSteps() {
 			row(w, fmt.Sprintf("step %d", i), stepText(step))
 		}
 	})
 }
 
+// recurrenceText tells how often and when steps run.
+func recurrenceText(m *pb.Recurrence) string {
+	return fmt.Sprintf("%d, from %s on, every %s", m.GetTimes(),
+		time.UnixMilli(m.GetFirstDueMs()).Format(time.RFC3339), milliseconds(m.GetIntervalMs()))
+}
+
 // stepText tells what a step needs and how its tasks behave.
 func stepText(m *pb.WorkflowStep) string {
 	text := fmt.Sprintf("%d tasks of %s, %s", m.GetTasks(), amount(&pb.Resources{
@@ -141,6 +151,9 @@
 		{m.GetFills(), "fills idle processors"},
 		{m.GetSpeculative(), "copies allowed"},
 		{m.GetCheckpoints(), "checkpoints"},
+		{m.GetGang(), "a gang"},
+		{m.GetOneRack(), "best on one rack"},
+		{m.GetMaxMissing() > 0, fmt.Sprintf("at most %d stopped at a time", m.GetMaxMissing())},
 	} {
 		if trait.set {
 			text += ", " + trait.text
--- a/cmd/briarspring/ctl_workflow_list.go
+++ b/cmd/briarspring/ctl_workflow_list.go
@@ -20,9 +20,9 @@
 		return err
 	}
 	return s.print(m, func(w *tabwriter.Writer) {
-		row(w, "WORKFLOW", "STEP", "INDEX", "RUN", "DATA CENTRE", "WORKER", "STATE", "AGE", "PACE", "IMAGE", "TAIL")
+		row(w, "WORKFLOW", "OCCURRENCE", "STEP", "INDEX", "RUN", "DATA CENTRE", "WORKER", "STATE", "AGE", "PACE", "IMAGE", "TAIL")
 		for _, r := range m.GetRuns() {
-			row(w, r.GetWorkflow(), r.GetStep(), r.GetIndex(), r.GetRun(), r.GetDataCentre(), r.GetWorker(), r.GetState(),
+			row(w, r.GetWorkflow(), r.GetOccurrence(), r.GetStep(), r.GetIndex(), r.GetRun(), r.GetDataCentre(), r.GetWorker(), r.GetState(),
 				milliseconds(r.GetAgeMs()), fmt.Sprintf("%d%%", r.GetPacePercent()), r.GetImage(), tailText(r.GetTail()))
 		}
 	})
--- a/declarer/workflow.go
+++ b/declarer/workflow.go
@@ -50,6 +50,9 @@
 	if w.ID == "" || len(w.Steps) == 0 {
 		return briarspring.Workflow{}, &ObjectError{File: path, Reason: "expected a section such as [workflow receipt-1] and one such as [step 0]"}
 	}
+	if err := w.Check(); err != nil {
+		return briarspring.Workflow{}, &ObjectError{File: path, Reason: err.Error()}
+	}
 	return w, nil
 }
 
@@ -66,6 +69,7 @@
 		w.ID = id
 		w.Queue = r.required("queue")
 		w.Specification = r.text("specification", "")
+		w.Recurrence = r.recurrence()
 	case kind == sectionStep && w.ID != "" && name == strconv.Itoa(len(w.Steps)):
 		w.Steps = append(w.Steps, r.step(len(w.Steps)))
 	default:
@@ -84,7 +88,27 @@
 		Image: r.text("image", ""), MaxPerWorker: int(r.count("max-per-worker", "0")),
 		TailTarget: r.optionalDuration("tail-target"), Checkpoints: r.flag("checkpoints"),
 		Speculative: r.flag("speculative"), Lasting: r.flag("lasting"), Fills: r.flag("fills"),
+		Gang: r.flag("gang"), OneRack: r.flag("one-rack"), MaxMissing: int(r.count("max-missing", "0")),
+	}
+}
+
+// recurrence returns how often and when the steps run; the zero value when the
+// section has none of the three keys.
+func (r *reader) recurrence() briarspring.Recurrence {
+	c := briarspring.Recurrence{Times: int(r.count("times", "0")), Interval: r.optionalDuration("every")}
+	first := r.text("first-due", "")
+	if c.Times == 0 {
+		if first != "" || c.Interval != 0 {
+			r.fail("times", "0", "how often the steps run, beside first-due and every")
+		}
+		return briarspring.Recurrence{}
+	}
+	at, err := time.Parse(time.RFC3339, first)
+	if err != nil {
+		r.fail("first-due", first, "a time such as 2026-12-04T22:00:00Z")
 	}
+	c.First = at
+	return c
 }
 
 func (r *reader) required(name string) string {
--- a/declarer/workflow_test.go
+++ b/declarer/workflow_test.go
@@ -1,6 +1,7 @@
 package declarer_test
 
 import (
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -31,6 +32,31 @@
 image = claims
 `
 
+const nightly = `[workflow nightly]
+queue = season
+times = 30
+first-due = 2026-12-04T22:00:00Z
+every = 24h
+
+[step 0]
+tasks = 4
+gang = true
+one-rack = true
+max-missing = 1
+cpu = 1
+memory = 1GiB
+`
+
+func TestExamplesOfWorkflows(t *testing.T) {
+	files, err := filepath.Glob("../examples/*.workflow.ini")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		_, err := declarer.LoadWorkflow(file)
+		assert.NoError(t, err)
+	}
+}
+
 func TestWorkflowFile(t *testing.T) {
 	t.Run("is read", func(t *testing.T) {
 		w, err := declarer.ParseWorkflow("bundle.ini", []byte(bundle))
@@ -44,7 +70,20 @@
 		assert.True(t, w.Steps[1].Fills && w.Steps[1].Checkpoints && !w.Steps[1].Lasting)
 		assert.Equal(t, 1, w.Steps[1].Tasks)
 	})
+	t.Run("tells occurrences and gangs", func(t *testing.T) {
+		w, err := declarer.ParseWorkflow("nightly.ini", []byte(nightly))
+		require.NoError(t, err)
+		assert.Equal(t, briarspring.Recurrence{
+			Times: 30, First: time.Date(2026, 12, 4, 22, 0, 0, 0, time.UTC), Interval: 24 * time.Hour,
+		}, w.Recurrence)
+		assert.Equal(t, 30*4, w.TaskCount())
+		assert.True(t, w.Steps[0].Gang && w.Steps[0].OneRack)
+		assert.Equal(t, 1, w.Steps[0].MaxMissing)
+	})
 	tests := []struct{ name, text, want string }{
+		{"interval alone", "[workflow w]\nqueue = q\nevery = 1h\n[step 0]\ncpu = 1\nmemory = 1GiB\n", "how often the steps run"},
+		{"no first time", "[workflow w]\nqueue = q\ntimes = 2\n[step 0]\ncpu = 1\nmemory = 1GiB\n", "a time such as"},
+		{"too many tasks", "[workflow w]\nqueue = q\ntimes = 90000\nfirst-due = 2026-12-04T22:00:00Z\n[step 0]\ntasks = 2\ncpu = 1\nmemory = 1GiB\n", "allowed are 1 to"},
 		{"empty", "", "expected a section such as [workflow receipt-1]"},
 		{"no step", "[workflow w]\nqueue = q\n", "expected a section such as [workflow receipt-1]"},
 		{"no queue", "[workflow w]\n", "expected a value"},
--- a/demonstrator/example_workflows.go
+++ b/demonstrator/example_workflows.go
@@ -29,7 +29,15 @@
 	urgentInterval = 250 * time.Millisecond
 	seasonCount    = 8
 	lastingTasks   = 6
-	tailTarget     = 40 * time.Millisecond
+	gangTasks      = 4
+	// sweepTimes and sweepInterval make up a workflow that recurs.
+	sweepTimes    = 3
+	sweepInterval = 2 * time.Second
+	// otherCount is the number of workflows of which there is one each.
+	otherCount = 2
+	tailTarget = 40 * time.Millisecond
+	// workflowCount is the number of workflows that come to an end.
+	workflowCount = urgentCount + seasonCount + otherCount
 	// urgentStretch and urgentAllowance make the objective of urgent workflows.
 	urgentStretch   = 1.5
 	urgentAllowance = 250 * time.Millisecond
@@ -86,6 +94,13 @@
 	return []briarspring.Step{s}
 }
 
+// gangSteps is a gang that works best on one rack.
+func gangSteps() []briarspring.Step {
+	s := exampleStep(gangTasks, 1000, 900*time.Millisecond)
+	s.Gang, s.OneRack = true, true
+	return []briarspring.Step{s}
+}
+
 // workflowRun is one run of the example's workflows.
 type workflowRun struct {
 	system *workflows
@@ -122,13 +137,20 @@
 	})
 }
 
-// submit hands a workflow in; a refusal or a lost answer is a failure here.
+// submit hands a workflow in that runs at once.
 func (r *workflowRun) submit(ctx context.Context, id, queue string, steps []briarspring.Step) {
+	r.submitRecurring(ctx, id, queue, steps, briarspring.Recurrence{})
+}
+
+// submitRecurring hands a workflow in; a refusal or a lost answer is a failure
+// here.
+func (r *workflowRun) submitRecurring(ctx context.Context, id, queue string, steps []briarspring.Step, times briarspring.Recurrence) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	began := time.Now()
 	_, err := r.client.SubmitWorkflow(ctx, connect.NewRequest(&pb.SubmitWorkflowRequest{
 		Id: id, Queue: queue, Specification: id, Steps: encoder.EncodeSteps(steps),
+		Recurrence: encoder.EncodeRecurrence(times),
 	}))
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -147,6 +169,10 @@
 // the other.
 func (r *workflowRun) load(ctx context.Context) {
 	r.submit(ctx, "index", queueLasting, lastingSteps())
+	r.submit(ctx, "gang", queueSeason, gangSteps())
+	r.submitRecurring(ctx, "sweep", queueSeason, urgentSteps(), briarspring.Recurrence{
+		Times: sweepTimes, First: time.Now().Add(sweepInterval), Interval: sweepInterval,
+	})
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for i := range urgentCount {
@@ -177,7 +203,7 @@
 				r.completed[w.GetId()] = time.Since(at)
 			}
 		}
-		return len(r.completed)+len(r.failures) >= urgentCount+seasonCount
+		return len(r.completed)+len(r.failures) >= workflowCount
 	})
 }
 
@@ -210,8 +236,8 @@
 	if r.atWork() != lastingTasks {
 		problems = append(problems, fmt.Sprintf("%d of %d lasting tasks are at work", r.atWork(), lastingTasks))
 	}
-	if len(r.completed) != urgentCount+seasonCount {
-		problems = append(problems, fmt.Sprintf("%d of %d workflows completed", len(r.completed), urgentCount+seasonCount))
+	if len(r.completed) != workflowCount {
+		problems = append(problems, fmt.Sprintf("%d of %d workflows completed", len(r.completed), workflowCount))
 	}
 	return problems
 }
--- a/dispatcher/drain.go
+++ b/dispatcher/drain.go
@@ -53,6 +53,25 @@
 	}
 }
 
+// mayMiss reports whether one more task of a lasting step may be stopped, in view
+// of how many are not at work.
+func (s *step) mayMiss() bool {
+	most := s.spec().MaxMissing
+	if most == 0 {
+		return true
+	}
+	missing := 0
+	for _, t := range s.tasks {
+		if t.mine && !slices.ContainsFunc(t.runs, (*run).works) {
+			missing++
+		}
+	}
+	return missing < most
+}
+
+// works reports whether a lasting run is at work and stays so.
+func (r *run) works() bool { return r.state == runAlive && !r.stopping && r.percent == atWork }
+
 // nextMove returns a lasting run that may start on another worker; nil while one
 // is on its way already, or when there is no room.
 func (d *Dispatcher) nextMove(w *worker) *run {
@@ -62,7 +81,7 @@
 		case !r.task.step.spec().Lasting:
 		case r.stopping:
 			return nil
-		case r.state == runAlive && d.bestReserved(r.task) != nil:
+		case r.state == runAlive && r.task.step.mayMiss() && d.bestReserved(r.task) != nil:
 			movable = append(movable, r)
 		}
 	}
--- a/dispatcher/drain_test.go
+++ b/dispatcher/drain_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -71,6 +72,33 @@
 	})
 }
 
+// Two workers that leave at once would take two tasks of a step away at a time.
+func TestMaxMissing(t *testing.T) {
+	for bound, want := range map[int]int{0: 2, 1: 1} {
+		t.Run(fmt.Sprintf("%d", bound), func(t *testing.T) {
+			s := newSite(t, dispatcher.Config{Token: 1}, 2)
+			watch := lasting(2, 2000)
+			watch.MaxPerWorker, watch.MaxMissing = 1, bound
+			s.d.Submit(s.now, 0, workflow("a", watch), 5, nil, nil)
+			s.plan()
+			s.holdAll()
+			s.add("w2")
+			s.add("w3")
+			s.drain("w0", 6*time.Second)
+			s.drain("w1", 6*time.Second)
+			stops := 0
+			for _, o := range s.plan() {
+				if o.Kind == dispatcher.OrderStop {
+					stops++
+				}
+			}
+			assert.Equal(t, want, stops)
+			s.later(2 * time.Second)
+			assert.Equal(t, 2, s.runsOn("w2")+s.runsOn("w3"), "both have moved in the end")
+		})
+	}
+}
+
 // add starts one more worker.
 func (s *site) add(id string) {
 	e := s.workers["w0"].entry
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -146,7 +146,7 @@
 	d.logger.Log(level, "run ended", "workflow", j.workflow.ID, "step", t.step.number, "index", t.index, "run", e.Run.Run,
 		"end", e.End.String(), "worker", w.id, "took-ms", r.age(d.now).Milliseconds())
 	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
+		t.save(e.Checkpoint)
 	}
 	switch e.End {
 	case briarspring.RunDone:
@@ -183,10 +183,13 @@
 
 // task returns the task of a name, or nil.
 func (j *job) task(ref briarspring.TaskRef) *task {
-	if j == nil || ref.Step < 0 || ref.Step >= len(j.steps) {
+	if j == nil || ref.Step < 0 || ref.Step >= len(j.workflow.Steps) {
 		return nil
 	}
-	tasks := j.steps[ref.Step].tasks
+	if ref.Occurrence < 0 || ref.Occurrence >= j.workflow.Occurrences() {
+		return nil
+	}
+	tasks := j.stepOf(ref.Occurrence, ref.Step).tasks
 	if ref.Index < 0 || ref.Index >= len(tasks) {
 		return nil
 	}
@@ -210,10 +213,10 @@
 		r.listed = true
 		r.percentAt = d.now
 	}
-	r.checkpoint = listed.Checkpoint
-	if listed.Checkpoint != "" {
-		r.task.checkpoint = listed.Checkpoint
+	if listed.Checkpoint != "" && listed.Checkpoint != r.checkpoint {
+		r.task.save(listed.Checkpoint)
 	}
+	r.checkpoint = listed.Checkpoint
 	if r.percent != listed.Percent {
 		r.percent = listed.Percent
 		r.percentAt = d.now
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -12,25 +12,28 @@
 	workflow  *briarspring.Workflow
 	offset    uint64        // Of the submission.
 	submitted time.Duration // By this process's clock.
-	steps     []*step
-	tasks     []*task // Of all steps, by position.
+	steps     []*step       // Of all occurrences, one after the other.
+	tasks     []*task       // Of all steps, by position.
 	cancelled bool
 	phase     briarspring.Phase
 	published briarspring.Phase // Last phase that was handed out for the log.
 	recorded  bool              // The final phase is in the log.
 	hasRecord bool              // A progress record exists or is on its way.
-	size      float64           // Declared work of all tasks, in thousandths of a core times seconds.
+	size      float64           // Declared work of one occurrence, in thousandths of a core times seconds.
 	away      bool              // All tasks were transferred to other data centres.
 }
 
 // step is a group of equal tasks of a job.
 type step struct {
-	job     *job
-	number  int
-	tasks   []*task
-	left    int // Tasks that are not done.
-	waiting int // Tasks that are not done and have no run.
-	spread  map[*worker]int
+	job        *job
+	occurrence int
+	number     int
+	due        time.Duration // By this process's clock; nothing starts before.
+	tasks      []*task
+	left       int // Tasks that are not done.
+	waiting    int // Tasks that are not done and have no run.
+	spread     map[*worker]int
+	within     string // Rack to which the placement of a gang is bound at the moment.
 }
 
 // task is one task of a step.
@@ -52,25 +55,46 @@
 
 func newJob(now, age time.Duration, w *briarspring.Workflow, offset uint64) *job {
 	j := &job{workflow: w, offset: offset, submitted: now - age}
-	for i, s := range w.Steps {
-		st := &step{job: j, number: i, left: s.Tasks, waiting: s.Tasks, spread: map[*worker]int{}}
-		for k := range s.Tasks {
-			t := &task{step: st, index: k, position: len(j.tasks), mine: true, readySince: now}
-			st.tasks = append(st.tasks, t)
-			j.tasks = append(j.tasks, t)
+	for k := range w.Occurrences() {
+		due := j.submitted
+		if w.Recurrence.Times > 0 {
+			due += w.Recurrence.Due(k).Sub(w.Submitted)
+		}
+		for i := range w.Steps {
+			j.addStep(&step{job: j, occurrence: k, number: i, due: due, spread: map[*worker]int{}}, now)
 		}
-		j.steps = append(j.steps, st)
 	}
 	return j
 }
 
+// addStep adds a step with its tasks.
+func (j *job) addStep(s *step, now time.Duration) {
+	s.left = s.spec().Tasks
+	s.waiting = s.left
+	for i := range s.left {
+		t := &task{step: s, index: i, position: len(j.tasks), mine: true, readySince: max(now, s.due)}
+		s.tasks = append(s.tasks, t)
+		j.tasks = append(j.tasks, t)
+	}
+	j.steps = append(j.steps, s)
+}
+
+// stepOf returns a step of an occurrence.
+func (j *job) stepOf(occurrence, number int) *step {
+	return j.steps[occurrence*len(j.workflow.Steps)+number]
+}
+
 // spec returns the declared properties of the step.
 func (s *step) spec() *briarspring.Step { return &s.job.workflow.Steps[s.number] }
 
-// ready reports whether all steps before it are done.
-func (s *step) ready() bool {
+// ready reports whether the step's occurrence is due and all steps before it are
+// done.
+func (s *step) ready(now time.Duration) bool {
+	if now < s.due {
+		return false
+	}
 	for _, a := range s.spec().After {
-		if s.job.steps[a].left > 0 {
+		if s.job.stepOf(s.occurrence, a).left > 0 {
 			return false
 		}
 	}
@@ -89,19 +113,33 @@
 	return n
 }
 
-// work returns the declared work that is left, in thousandths of a core times
-// seconds.
-func (j *job) work() int64 {
+// work returns the declared work that is left of one occurrence, in thousandths
+// of a core times seconds.
+func (j *job) work(occurrence int) int64 {
 	var sum int64
-	for _, s := range j.steps {
+	for i := range j.workflow.Steps {
+		s := j.stepOf(occurrence, i)
 		sum += int64(s.left) * s.spec().Resources.MilliCPU() * s.spec().Estimate.Milliseconds() / 1000
 	}
 	return sum
 }
 
+// dueWork returns the declared work that is left of all occurrences that are due.
+func (j *job) dueWork(now time.Duration) int64 {
+	var sum int64
+	for k := range j.workflow.Occurrences() {
+		if now >= j.stepOf(k, 0).due {
+			sum += j.work(k)
+		}
+	}
+	return sum
+}
+
 // ref returns the task's name.
 func (t *task) ref() briarspring.TaskRef {
-	return briarspring.TaskRef{Workflow: t.step.job.workflow.ID, Step: t.step.number, Index: t.index}
+	return briarspring.TaskRef{
+		Workflow: t.step.job.workflow.ID, Occurrence: t.step.occurrence, Step: t.step.number, Index: t.index,
+	}
 }
 
 // pending reports whether the task needs a run.
@@ -113,8 +151,15 @@
 // fail counts a failed run. An end may be listed again to a new owner, so each
 // run counts once.
 func (t *task) fail(run uint32) {
-	if !slices.Contains(t.failedRuns, run) {
-		t.failedRuns = append(t.failedRuns, run)
+	if slices.Contains(t.failedRuns, run) {
+		return
+	}
+	t.failedRuns = append(t.failedRuns, run)
+	if t.step.spec().Gang {
+		// A gang fails as a whole.
+		for _, o := range t.step.tasks {
+			o.fail(run)
+		}
 	}
 }
 
@@ -156,7 +201,7 @@
 		return
 	}
 	j := newJob(now, age, w, offset)
-	j.size = float64(j.work())
+	j.size = float64(j.work(0))
 	if mean, ok := d.meanSize[w.Queue]; ok {
 		d.meanSize[w.Queue] = mean + meanRate*(j.size-mean)
 	} else {
@@ -209,6 +254,12 @@
 	if len(t.runs) == 0 {
 		t.step.waiting--
 	}
+	if t.step.spec().Gang {
+		// One end that is done stands for all.
+		for _, o := range t.step.tasks {
+			o.finish()
+		}
+	}
 }
 
 // Cancel ends a workflow.
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -34,7 +34,7 @@
 	}
 	for _, j := range d.jobs {
 		if !j.over() && !j.workflow.Lasting() {
-			b.Backlog += j.work()
+			b.Backlog += j.dueWork(d.now)
 		}
 	}
 	return b
@@ -57,7 +57,7 @@
 		for _, s := range j.steps {
 			if spec := s.spec(); spec.Fills && s.left > 0 {
 				sums[spec.Image] += 0
-				if s.ready() {
+				if s.ready(d.now) {
 					sums[spec.Image] += int64(s.waiting) * spec.Resources.MilliCPU()
 				}
 			}
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -71,14 +71,19 @@
 
 // startAt orders a run that works at a share of full speed from the start.
 func (d *Dispatcher) startAt(t *task, w *worker, share float64) {
-	r := d.start(t, w)
-	d.setPace(r, int(math.Round(fullSpeed*share)))
+	d.setPace(d.start(t, w), percentOf(share))
 }
 
-// start orders a run of a task on a worker.
-func (d *Dispatcher) start(t *task, w *worker) *run {
+// percentOf returns a share of full speed in percent.
+func percentOf(share float64) int { return int(math.Round(fullSpeed * share)) }
+
+// start orders the next run of a task on a worker.
+func (d *Dispatcher) start(t *task, w *worker) *run { return d.startRun(t, w, t.lastRun+1) }
+
+// startRun orders a run of a task on a worker.
+func (d *Dispatcher) startRun(t *task, w *worker, number uint32) *run {
 	r := &run{
-		ref:  briarspring.RunRef{Task: t.ref(), Run: t.lastRun + 1},
+		ref:  briarspring.RunRef{Task: t.ref(), Run: number},
 		task: t, worker: w, state: runOrdered, since: d.now,
 		until: w.clockNow(d.now) + startWindow, pace: fullSpeed, paceSent: fullSpeed,
 	}
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -92,11 +92,14 @@
 			continue
 		}
 		for _, s := range j.steps {
-			if s.waiting == 0 || !s.ready() {
+			if s.spec().Gang {
+				d.breakPartial(s)
+			}
+			if s.waiting == 0 || !s.ready(d.now) {
 				continue
 			}
-			c := candidate{step: s, slack: j.submitted + j.workflow.Objective() - d.now - d.expected(j, s.number)}
-			c.price = d.price(j, c.slack)
+			c := candidate{step: s, slack: s.due + j.workflow.Objective() - d.now - d.expected(j, s.number)}
+			c.price = d.price(s, c.slack)
 			if s.spec().Fills {
 				filling = append(filling, c)
 			} else {
@@ -106,6 +109,10 @@
 	}
 	slices.SortFunc(reserved, compareReserved)
 	for _, c := range reserved {
+		if c.step.spec().Gang {
+			d.assignGang(c.step)
+			continue
+		}
 		d.assignReserved(c.step)
 	}
 	for _, j := range d.jobs {
@@ -118,6 +125,10 @@
 	}
 	slices.SortFunc(filling, compareFilling)
 	for _, c := range filling {
+		if c.step.spec().Gang {
+			d.assignGang(c.step)
+			continue
+		}
 		d.assignFilling(c.step)
 	}
 }
@@ -130,6 +141,7 @@
 		cmp.Compare(late(a), late(b)),
 		cmp.Compare(a.slack, b.slack),
 		cmp.Compare(a.step.job.workflow.ID, b.step.job.workflow.ID),
+		cmp.Compare(a.step.occurrence, b.step.occurrence),
 		cmp.Compare(a.step.number, b.step.number),
 	)
 }
@@ -142,6 +154,7 @@
 		cmp.Compare(a.step.job.workflow.Priority, b.step.job.workflow.Priority),
 		cmp.Compare(a.price, b.price),
 		cmp.Compare(a.step.job.workflow.ID, b.step.job.workflow.ID),
+		cmp.Compare(a.step.occurrence, b.step.occurrence),
 		cmp.Compare(a.step.number, b.step.number),
 	)
 }
@@ -166,8 +179,9 @@
 // price returns the work that is left for each unit of worth. It answers bursts
 // that can't all be served in time: the processors go to what earns most with
 // them, and started workflows finish before new ones dilute them.
-func (d *Dispatcher) price(j *job, slack time.Duration) float64 {
-	left := float64(j.work())
+func (d *Dispatcher) price(s *step, slack time.Duration) float64 {
+	j := s.job
+	left := float64(j.work(s.occurrence))
 	worth := baseWorth + workWorth*j.size/max(1, d.meanSize[j.workflow.Queue])
 	objective := j.workflow.Objective()
 	switch {
@@ -246,6 +260,9 @@
 	if spec.Requirement != "" && !slices.Contains(w.entry.Labels, spec.Requirement) {
 		return false
 	}
+	if t.step.within != "" && t.step.within != w.entry.Rack {
+		return false
+	}
 	return spec.MaxPerWorker <= 0 || t.step.spread[w] < spec.MaxPerWorker
 }
 
@@ -322,10 +339,7 @@
 		if !t.pending() || d.exhausted(t) {
 			continue
 		}
-		w, share := d.bestFilling(t)
-		if w == nil && d.starves(t) {
-			w, share = d.leastHarm(t)
-		}
+		w, share := d.chooseFilling(t)
 		if w == nil {
 			d.explainWaiting(t)
 			return
@@ -334,6 +348,16 @@
 	}
 }
 
+// chooseFilling returns the worker for a task that fills and the share of full
+// speed at which it may work; nil while there is none.
+func (d *Dispatcher) chooseFilling(t *task) (*worker, float64) {
+	w, share := d.bestFilling(t)
+	if w == nil && d.starves(t) {
+		return d.leastHarm(t)
+	}
+	return w, share
+}
+
 // explainWaiting logs why no worker takes a task that fills.
 func (d *Dispatcher) explainWaiting(t *task) {
 	if !d.logger.IsDebug() {
--- a/dispatcher/straggler.go
+++ b/dispatcher/straggler.go
@@ -28,7 +28,7 @@
 		if spec.Lasting || r.stopping || !r.listed || r.pace < stallPace || d.now-r.percentAt < stallTime {
 			continue
 		}
-		if d.now-r.pacedAt < stallTime {
+		if d.now-r.pacedAt < stallTime || spec.Gang && !r.task.step.atSpeed(d.now) {
 			continue
 		}
 		r.task.avoid = w
@@ -40,7 +40,7 @@
 // copies starts second runs of tasks that take much longer than expected, where
 // copies may run at the same time. It answers slow workers under urgent work.
 func (d *Dispatcher) copies(s *step) {
-	if !s.spec().Speculative || s.spec().Fills || s.left == 0 {
+	if !s.spec().Speculative || s.spec().Fills || s.spec().Gang || s.left == 0 {
 		return
 	}
 	limit := time.Duration(copyFactor*float64(d.expectedStep(s))) + copyDelay
--- a/dispatcher/transfer.go
+++ b/dispatcher/transfer.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		for _, s := range j.steps {
-			if s.waiting > 0 && s.ready() {
+			if s.waiting > 0 && s.ready(d.now) {
 				jobs = append(jobs, j)
 				break
 			}
@@ -71,7 +71,8 @@
 }
 
 // leavers returns the tasks of a job that should go elsewhere: single tasks of a
-// lasting one, and all or none of any other, so that its steps stay together.
+// lasting one, and all or none of any other and of gangs, so that its steps stay
+// together.
 func (d *Dispatcher) leavers(j *job) []*task {
 	var tasks []*task
 	due := false
@@ -80,7 +81,7 @@
 			continue
 		}
 		spec := t.step.spec()
-		if spec.Lasting {
+		if spec.Lasting && !spec.Gang {
 			if t.pending() && (d.out || d.now-t.readySince > lastingWait) {
 				tasks = append(tasks, t)
 				due = true
@@ -91,7 +92,7 @@
 			return nil
 		}
 		tasks = append(tasks, t)
-		if t.pending() && t.step.ready() && (d.out || !spec.Fills && d.now-t.readySince > urgentWait) {
+		if t.pending() && t.step.ready(d.now) && (d.out || !spec.Fills && !spec.Lasting && d.now-t.readySince > urgentWait) {
 			due = true
 		}
 	}
@@ -99,13 +100,13 @@
 		return nil
 	}
 	// The first one decides where they go, so it must be one that waits.
-	slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(needOf(b), needOf(a)) })
+	slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(d.needOf(b), d.needOf(a)) })
 	return tasks
 }
 
 // needOf returns what a task that waits needs, and less for others.
-func needOf(t *task) int64 {
-	if !t.pending() || !t.step.ready() {
+func (d *Dispatcher) needOf(t *task) int64 {
+	if !t.pending() || !t.step.ready(d.now) {
 		return -1
 	}
 	return t.step.spec().Resources.MilliCPU()
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -211,29 +211,38 @@
 // addRun books a run on its worker.
 func (d *Dispatcher) addRun(r *run) {
 	r.worker.runs[r.ref] = r
-	spec := r.task.step.spec()
-	r.worker.reserved = r.worker.reserved.Add(reservation(spec))
+	r.weight = r.worker.book(r.task.step.spec())
+	r.task.started(r)
+	d.changed = true
+}
+
+// book holds what a task needs, and returns what it adds to the worker's filling.
+func (w *worker) book(spec *briarspring.Step) (weight int64) {
+	w.reserved = w.reserved.Add(reservation(spec))
 	if spec.Fills {
-		r.weight = spec.Resources.MilliCPU()
-		r.worker.filling += r.weight
+		weight = spec.Resources.MilliCPU()
 	}
+	w.filling += weight
 	if spec.Lasting {
-		r.worker.serving += spec.Resources.MilliCPU()
+		w.serving += spec.Resources.MilliCPU()
 	}
-	r.task.started(r)
-	d.changed = true
+	return weight
 }
 
-// removeRun frees what a run holds.
-func (d *Dispatcher) removeRun(r *run) {
-	w := r.worker
-	delete(w.runs, r.ref)
-	spec := r.task.step.spec()
+// release frees what a task holds; weight is its share of the worker's filling.
+func (w *worker) release(spec *briarspring.Step, weight int64) {
 	w.reserved = w.reserved.Sub(reservation(spec))
-	w.filling -= r.weight
+	w.filling -= weight
 	if spec.Lasting {
 		w.serving -= spec.Resources.MilliCPU()
 	}
+}
+
+// removeRun frees what a run holds.
+func (d *Dispatcher) removeRun(r *run) {
+	w := r.worker
+	delete(w.runs, r.ref)
+	w.release(r.task.step.spec(), r.weight)
 	if w.probing == r {
 		w.probing = nil
 	}
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -21,9 +21,32 @@
 		AllowanceMs: w.Allowance.Milliseconds(), DataCentre: w.DataCentre, SubmittedMs: w.Submitted.UnixMilli(),
 	}
 	m.Steps = EncodeSteps(w.Steps)
+	m.Recurrence = EncodeRecurrence(w.Recurrence)
 	return proto.Marshal(m)
 }
 
+// EncodeRecurrence returns the message of a recurrence; nil for one of steps that
+// run once, at once.
+func EncodeRecurrence(r briarspring.Recurrence) *pb.Recurrence {
+	if r.Times == 0 {
+		return nil
+	}
+	return &pb.Recurrence{Times: int32(r.Times), FirstDueMs: r.First.UnixMilli(), IntervalMs: r.Interval.Milliseconds()}
+}
+
+// DecodeRecurrence returns how often and when steps run, or a *MalformedError.
+func DecodeRecurrence(m *pb.Recurrence) (briarspring.Recurrence, error) {
+	if m == nil {
+		return briarspring.Recurrence{}, nil
+	}
+	if m.Times < 1 || m.Times > briarspring.MaxTasks || m.IntervalMs < 0 || m.FirstDueMs < 0 {
+		return briarspring.Recurrence{}, malformed("workflow", "its steps run %d times, from %d ms on, every %d ms", m.Times, m.FirstDueMs, m.IntervalMs)
+	}
+	return briarspring.Recurrence{
+		Times: int(m.Times), First: time.UnixMilli(m.FirstDueMs), Interval: time.Duration(m.IntervalMs) * time.Millisecond,
+	}, nil
+}
+
 // EncodeSteps returns the messages of a workflow's steps.
 func EncodeSteps(steps []briarspring.Step) []*pb.WorkflowStep {
 	var list []*pb.WorkflowStep
@@ -40,6 +63,7 @@
 		Requirement: s.Requirement, Rack: s.Rack, Image: s.Image, MaxPerWorker: int32(s.MaxPerWorker),
 		TailTargetUs: s.TailTarget.Microseconds(),
 		Checkpoints:  s.Checkpoints, Speculative: s.Speculative, Lasting: s.Lasting, Fills: s.Fills,
+		Gang: s.Gang, OneRack: s.OneRack, MaxMissing: int32(s.MaxMissing),
 	}
 	for _, a := range s.After {
 		m.After = append(m.After, int32(a))
@@ -61,6 +85,9 @@
 		DataCentre: m.DataCentre, Submitted: time.UnixMilli(m.SubmittedMs),
 	}
 	var err error
+	if w.Recurrence, err = DecodeRecurrence(m.Recurrence); err != nil {
+		return nil, err
+	}
 	w.Steps, err = DecodeSteps(m.Steps)
 	return w, err
 }
@@ -91,11 +118,12 @@
 		Requirement: m.Requirement, Rack: m.Rack, Image: m.Image, MaxPerWorker: int(m.MaxPerWorker),
 		TailTarget:  time.Duration(m.TailTargetUs) * time.Microsecond,
 		Checkpoints: m.Checkpoints, Speculative: m.Speculative, Lasting: m.Lasting, Fills: m.Fills,
+		Gang: m.Gang, OneRack: m.OneRack, MaxMissing: int(m.MaxMissing),
 	}
 	if s.Tasks < 1 || s.Tasks > briarspring.MaxTasks {
 		return s, malformed("workflow", "step %d has %d tasks", i, s.Tasks)
 	}
-	if m.MilliCpu < 0 || m.MemoryMib < 0 || m.Accelerators < 0 || m.EstimateMs < 0 || m.MaxPerWorker < 0 || m.TailTargetUs < 0 {
+	if m.MilliCpu < 0 || m.MemoryMib < 0 || m.Accelerators < 0 || m.EstimateMs < 0 || m.MaxPerWorker < 0 || m.TailTargetUs < 0 || m.MaxMissing < 0 {
 		return s, malformed("workflow", "step %d has a negative amount", i)
 	}
 	for _, a := range m.After {
--- a/operator/workflow.go
+++ b/operator/workflow.go
@@ -68,7 +68,14 @@
 	if err != nil {
 		return nil, workflowError(err)
 	}
-	w := &briarspring.Workflow{ID: id, Specification: r.Msg.GetSpecification(), Steps: steps}
+	recurrence, err := encoder.DecodeRecurrence(r.Msg.GetRecurrence())
+	if err != nil {
+		return nil, workflowError(err)
+	}
+	w := &briarspring.Workflow{ID: id, Specification: r.Msg.GetSpecification(), Steps: steps, Recurrence: recurrence}
+	if err := w.Check(); err != nil {
+		return nil, workflowError(err)
+	}
 	if err := s.intake.Submit(ctx, queue, w); err != nil {
 		return nil, workflowError(err)
 	}
@@ -102,7 +109,7 @@
 	m := &pb.WorkflowDescription{
 		Id: string(w.ID), Queue: w.Queue, Phase: e.Phase().String(), Priority: int32(w.Priority),
 		SubmittedMs: w.Submitted.UnixMilli(), ObjectiveMs: w.Objective().Milliseconds(),
-		Tasks: int32(w.TaskCount()), TasksIn: map[string]int32{},
+		Tasks: int32(w.TaskCount()), TasksIn: map[string]int32{}, Recurrence: encoder.EncodeRecurrence(w.Recurrence),
 	}
 	for position := range w.TaskCount() {
 		m.TasksIn[e.DataCentre(position)]++
@@ -202,7 +209,7 @@
 
 func describeRun(dataCentre string, r dispatcher.RunInfo) *pb.RunDescription {
 	return &pb.RunDescription{
-		Workflow: string(r.Run.Task.Workflow), Step: int32(r.Run.Task.Step), Index: int32(r.Run.Task.Index), Run: r.Run.Run,
+		Workflow: string(r.Run.Task.Workflow), Occurrence: int32(r.Run.Task.Occurrence), Step: int32(r.Run.Task.Step), Index: int32(r.Run.Task.Index), Run: r.Run.Run,
 		DataCentre: dataCentre, Worker: r.Worker, State: r.State, AgeMs: r.Age.Milliseconds(),
 		PacePercent: int32(r.Pace), Image: r.Image, Tail: r.Tail,
 	}
--- a/operator/workflow_test.go
+++ b/operator/workflow_test.go
@@ -136,6 +136,14 @@
 		_, err = client.SubmitWorkflow(t.Context(), q)
 		assertCode(t, connect.CodeInvalidArgument, err)
 		q = submission("a")
+		q.Msg.Recurrence = &pb.Recurrence{Times: 1, IntervalMs: -1}
+		_, err = client.SubmitWorkflow(t.Context(), q)
+		assertCode(t, connect.CodeInvalidArgument, err)
+		q = submission("a")
+		q.Msg.Recurrence = &pb.Recurrence{Times: briarspring.MaxTasks}
+		_, err = client.SubmitWorkflow(t.Context(), q)
+		assertCode(t, connect.CodeInvalidArgument, err)
+		q = submission("a")
 		q.Msg.Queue = "none"
 		_, err = client.SubmitWorkflow(t.Context(), q)
 		assertCode(t, connect.CodeNotFound, err)
@@ -165,6 +173,22 @@
 	return m.(*pb.RefusalDetail)
 }
 
+func TestRecurringWorkflow(t *testing.T) {
+	_, client := serve(t)
+	q := submission("nightly")
+	q.Msg.Recurrence = &pb.Recurrence{Times: 3, FirstDueMs: 1_796_000_000_000, IntervalMs: 60_000}
+	q.Msg.Steps[0].Gang, q.Msg.Steps[0].OneRack, q.Msg.Steps[0].MaxMissing = true, true, 2
+	_, err := client.SubmitWorkflow(t.Context(), q)
+	require.NoError(t, err)
+	m, err := client.DescribeWorkflow(t.Context(), connect.NewRequest(&pb.DescribeWorkflowRequest{Id: "nightly"}))
+	require.NoError(t, err)
+	assert.EqualValues(t, 9, m.Msg.GetTasks())
+	assert.EqualValues(t, 3, m.Msg.GetRecurrence().GetTimes())
+	assert.EqualValues(t, 60_000, m.Msg.GetRecurrence().GetIntervalMs())
+	s := m.Msg.GetSteps()[0]
+	assert.True(t, s.GetGang() && s.GetOneRack() && s.GetMaxMissing() == 2)
+}
+
 func TestReadingWorkflows(t *testing.T) {
 	i, client := serve(t)
 	for _, id := range []string{"b", "a", "c"} {
--- a/steward/term.go
+++ b/steward/term.go
@@ -235,8 +235,7 @@
 	case e.Phase().Final() && len(progress) == 0:
 		return
 	default:
-		age := max(0, min(time.Since(w.Submitted), t.config.KeepFinal))
-		t.engine.Submit(now, age, w, e.Offset(), t.withMoved(e, progress), place)
+		t.engine.Submit(now, t.ageOf(w), w, e.Offset(), t.withMoved(e, progress), place)
 	}
 	if e.Cancelled() {
 		t.engine.Cancel(now, w.ID)
@@ -246,6 +245,16 @@
 	}
 }
 
+// ageOf returns the time since a workflow was accepted, kept within the time for
+// which workflows of its recurrence are known, since clocks may jump.
+func (t *term) ageOf(w *briarspring.Workflow) time.Duration {
+	most := t.config.KeepFinal
+	if n := w.Recurrence.Times; n > 0 {
+		most += max(0, w.Recurrence.Due(n-1).Sub(w.Submitted))
+	}
+	return max(0, min(time.Since(w.Submitted), most))
+}
+
 // placeOf returns where the tasks of a workflow belong; nil when none was
 // transferred.
 func (t *term) placeOf(e *registrar.Entry) func(position int) dispatcher.Place {
--- a/workflow.go
+++ b/workflow.go
@@ -1,6 +1,9 @@
 package briarspring
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // WorkflowID names a workflow; its submitter chooses it.
 type WorkflowID string
@@ -27,6 +30,19 @@
 	Allowance     time.Duration // Added to the stretched chain in the latency objective.
 	DataCentre    string        // That runs the workflow.
 	Submitted     time.Time     // By the accepting host's clock.
+	Recurrence    Recurrence    // The zero value runs the steps once, at once.
+}
+
+// Recurrence tells how often and when the steps of a workflow run.
+type Recurrence struct {
+	Times    int           // Zero for once, at once.
+	First    time.Time     // When the first occurrence is due.
+	Interval time.Duration // Between two occurrences, which may overlap.
+}
+
+// Due returns when an occurrence is due, counted from zero.
+func (r Recurrence) Due(occurrence int) time.Time {
+	return r.First.Add(time.Duration(occurrence) * r.Interval)
 }
 
 // Step is a group of equal tasks.
@@ -44,17 +60,31 @@
 	Speculative  bool // Copies of a task may run at the same time.
 	Lasting      bool // Tasks run until the workflow is cancelled.
 	Fills        bool // Tasks use processors that others reserve and leave idle.
+	Gang         bool // Tasks work only while all of them are present, and end together.
+	OneRack      bool // Tasks work faster when all of them run on one rack.
+	MaxMissing   int  // Tasks of a lasting step that may be stopped at the same time; zero for no bound.
 }
 
-// TaskCount returns the number of tasks of all steps.
+// TaskCount returns the number of tasks of all steps in all occurrences.
 func (w *Workflow) TaskCount() int {
 	n := 0
 	for _, s := range w.Steps {
 		n += s.Tasks
 	}
-	return n
+	return n * w.Occurrences()
 }
 
+// Check returns an *InvalidError for a workflow that can't be run as it stands.
+func (w *Workflow) Check() error {
+	if n := w.TaskCount(); n < 1 || n > MaxTasks {
+		return &InvalidError{Object: "workflow/" + string(w.ID), Reason: fmt.Sprintf("it has %d tasks, allowed are 1 to %d", n, MaxTasks)}
+	}
+	return nil
+}
+
+// Occurrences returns how often the steps run.
+func (w *Workflow) Occurrences() int { return max(1, w.Recurrence.Times) }
+
 // Urgent reports whether the tasks' processors are reserved for them.
 func (w *Workflow) Urgent() bool { return len(w.Steps) > 0 && !w.Steps[0].Fills }
 
@@ -86,8 +116,8 @@
 	return longest
 }
 
-// Objective returns the time from submission within which callers are served
-// well.
+// Objective returns the time from submission, or from when an occurrence is due,
+// within which callers are served well.
 func (w *Workflow) Objective() time.Duration {
 	return time.Duration(w.Stretch*float64(w.LongestChain())) + w.Allowance
 }
@@ -145,9 +175,10 @@
 
 // TaskRef names a task of a workflow.
 type TaskRef struct {
-	Workflow WorkflowID
-	Step     int
-	Index    int
+	Workflow   WorkflowID
+	Occurrence int
+	Step       int
+	Index      int
 }
 
 // RunRef names one start of a task. Runs count from one.
@@ -165,12 +196,13 @@
 	RunFailed  RunEnd = 2 // By its own fault or the worker's.
 	RunStopped RunEnd = 3
 	RunLapsed  RunEnd = 4 // The worker's lease ended.
-	RunBroken  RunEnd = 5 // Any other cause.
+	RunBroken  RunEnd = 5 // Another member of its gang ended, or any other cause.
+	RunAlone   RunEnd = 6 // It waited too long for the other members of its gang.
 )
 
 // String returns the end in kebab case.
 func (e RunEnd) String() string {
-	names := [...]string{"", "done", "failed", "stopped", "lapsed", "broken"}
+	names := [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone"}
 	if int(e) < len(names) {
 		return names[e]
 	}
