--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -62,6 +62,7 @@
 	runs    map[briarspring.RunRef]*poolRun
 	ended   []briarspring.EndedTask
 	number  uint64
+	unheard uint64 // Ends up to this number were not acknowledged when the lease ended.
 	highest map[briarspring.TaskRef]uint32
 	changed chan struct{}
 }
@@ -90,7 +91,7 @@
 	w.life++
 	w.began = time.Now()
 	w.entry.Born = w.began.UnixMilli()
-	w.token, w.until, w.number = 0, 0, 0
+	w.token, w.until, w.number, w.unheard = 0, 0, 0, 0
 	w.runs = map[briarspring.RunRef]*poolRun{}
 	w.highest = map[briarspring.TaskRef]uint32{}
 	w.ended = nil
@@ -102,9 +103,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.workers[id]
+	gone := w.runs
 	w.up = false
 	w.life++
 	w.runs = map[briarspring.RunRef]*poolRun{}
+	for ref, r := range gone {
+		p.part(ref, r, briarspring.RunLapsed)
+	}
 	w.ended = nil
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -238,14 +243,17 @@
 
 // lapse ends everything when the lease is over.
 func (p *Pool) lapse(w *poolWorker) {
-	if w.up && len(w.runs) > 0 && w.until > 0 && w.clock() > w.until {
-		for ref := range w.runs {
-			p.end(w, ref, briarspring.RunLapsed, "")
-		}
+	if !w.up || w.until == 0 || w.clock() <= w.until {
+		return
+	}
+	for ref := range w.runs {
+		p.end(w, ref, briarspring.RunLapsed, "")
 	}
+	w.unheard = w.number
 }
 
 func (p *Pool) end(w *poolWorker, ref briarspring.RunRef, how briarspring.RunEnd, checkpoint string) {
+	r := w.runs[ref]
 	delete(w.runs, ref)
 	w.number++
 	w.highest[ref.Task] = max(w.highest[ref.Task], ref.Run)
@@ -258,6 +266,7 @@
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
+	p.part(ref, r, how)
 }
 
 // reach waits for the way to a worker; the error is a doubt when it is cut.
@@ -364,10 +373,11 @@
 }
 
 // acknowledge forgets ends that are stored; those that are done must never run
-// again.
+// again. An end that nobody had heard of when the lease ended is no proof: the
+// owner may have given the task to others by then.
 func (p *Pool) acknowledge(w *poolWorker, number uint64) {
 	for len(w.ended) > 0 && w.ended[0].Number <= number {
-		if e := w.ended[0]; e.End == briarspring.RunDone {
+		if e := w.ended[0]; e.End == briarspring.RunDone && e.Number > w.unheard {
 			p.done[e.Run.Task] = time.Now()
 		}
 		w.ended = w.ended[1:]
@@ -418,43 +428,10 @@
 			p.end(w, o.Run, how, "")
 		}
 	}
-	r.schedule()
+	p.join(w, o.Run, r)
 	return nil
 }
 
-// check notes what a start breaks.
-func (p *Pool) check(w *poolWorker, run briarspring.RunRef) {
-	note := func(format string, args ...any) {
-		p.broken = append(p.broken, fmt.Sprintf("%v on %s: ", run, w.entry.ID)+fmt.Sprintf(format, args...))
-	}
-	if at, ok := p.done[run.Task]; ok {
-		note("started again %s after its end was acknowledged", time.Since(at))
-	}
-	workflow, step := p.config.Spec(run.Task)
-	if step == nil {
-		note("nobody submitted it")
-		return
-	}
-	var used int64
-	for _, o := range p.workers {
-		p.lapse(o)
-		for other := range o.runs {
-			if other.Task == run.Task {
-				note("runs on %s as well", o.entry.ID)
-			}
-			if _, s := p.config.Spec(other.Task); o == w && s != nil && !s.Fills {
-				used += s.Resources.MilliCPU()
-			}
-		}
-	}
-	if !step.Fills && used+step.Resources.MilliCPU() > w.entry.Capacity.MilliCPU() {
-		note("%d thousandths of a core are in use of %s", used, w.entry.Capacity)
-	}
-	if !step.Lasting && workflow.MaxAttempts > 0 && p.failures[run.Task] >= workflow.MaxAttempts {
-		note("it has failed %d times", p.failures[run.Task])
-	}
-}
-
 // Stop ends a run, or keeps it from starting.
 func (c *PoolClient) Stop(ctx context.Context, _, id string, o briarspring.StopOrder) error {
 	return c.deliver(ctx, id, func(w *poolWorker) error {
--- /dev/null
+++ b/imitator/pool_test.go
@@ -0,0 +1,52 @@
+package imitator
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"briarspring"
+)
+
+// runTwice has a task end as done on one worker and start again on another. The
+// end is acknowledged after a pause.
+func runTwice(t *testing.T, pause time.Duration) []string {
+	t.Helper()
+	var broken []string
+	synctest.Test(t, func(t *testing.T) {
+		work := time.Second
+		step := briarspring.Step{Tasks: 1, Resources: briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: 1, MemoryMiB: 1})}
+		workflow := &briarspring.Workflow{ID: "w", Steps: []briarspring.Step{step}}
+		p := NewPool(PoolConfig{
+			Plan: func(briarspring.RunRef) (time.Duration, briarspring.RunEnd) { return work, briarspring.RunDone },
+			Spec: func(briarspring.TaskRef) (*briarspring.Workflow, *briarspring.Step) { return workflow, &step },
+		})
+		for _, id := range []string{"a", "b"} {
+			p.Add(briarspring.WorkerEntry{ID: id, Capacity: step.Resources})
+		}
+		ctx := context.Background()
+		c := p.For("owner")
+		run := briarspring.RunRef{Task: briarspring.TaskRef{Workflow: "w"}, Run: 1}
+		require.NoError(t, c.Start(ctx, "", "a", briarspring.StartOrder{Run: run, Until: 3 * time.Second, Token: 1}))
+		time.Sleep(work + pause)
+		_, err := c.Hold(ctx, "", "a", briarspring.HoldRequest{Token: 1, Until: 10 * time.Second, EndsBefore: 1})
+		require.NoError(t, err)
+		run.Run = 2
+		require.NoError(t, c.Start(ctx, "", "b", briarspring.StartOrder{Run: run, Until: 30 * time.Second, Token: 1}))
+		broken = p.Broken()
+	})
+	return broken
+}
+
+func TestPoolTellsSecondRuns(t *testing.T) {
+	t.Run("after an end that was acknowledged while the lease held", func(t *testing.T) {
+		assert.Len(t, runTwice(t, time.Second), 1)
+	})
+	t.Run("but not after one that nobody had heard of when the lease ended", func(t *testing.T) {
+		assert.Empty(t, runTwice(t, 4*time.Second))
+	})
+}
--- a/imitator/poolrun.go
+++ b/imitator/poolrun.go
@@ -25,7 +25,8 @@
 	work       time.Duration     // At full speed; zero for a lasting task.
 	left       time.Duration     // Of the work, at since.
 	since      time.Time
-	pace       int // In percent.
+	pace       int  // In percent.
+	waits      bool // For other members of its gang.
 	timer      *time.Timer
 	finish     func() // Called when the work may be done.
 }
@@ -37,6 +38,10 @@
 // advance takes off the work that was done since the last call.
 func (r *poolRun) advance() {
 	now := time.Now()
+	if r.waits {
+		r.since = now
+		return
+	}
 	r.left -= now.Sub(r.since) * time.Duration(r.pace) / fullPace
 	r.since = now
 }
@@ -52,7 +57,7 @@
 	if r.timer != nil {
 		r.timer.Stop()
 	}
-	if r.work == 0 || r.pace == 0 {
+	if r.work == 0 || r.pace == 0 || r.waits {
 		return
 	}
 	// Rounded up, so that nothing is left when finish is called.
