--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,8 +29,9 @@
 	kinds     *rand.Rand // Chooses gangs and recurrences; nil for none.
 	accepted  []briarspring.WorkflowID
 	cancelled map[briarspring.WorkflowID]bool
-	down      map[string]bool // Workers that crashed.
-	out       string          // Data centre that is out of service.
+	twice     map[briarspring.WorkflowID]bool // Accepted by one or more of several hosts.
+	down      map[string]bool                 // Workers that crashed.
+	out       string                          // Data centre that is out of service.
 	log       []string
 }
 
@@ -64,10 +67,13 @@
 	},
 	"crash-worker": func(h *history) {
 		id, down := h.randomWorker(), h.upTo(8*time.Second)
-		if h.down[id] {
+		h.mu.Lock()
+		wasDown := h.down[id]
+		h.down[id] = true
+		h.mu.Unlock()
+		if wasDown {
 			return
 		}
-		h.down[id] = true
 		h.pool.Crash(id)
 		h.duties.Go(func() {
 			time.Sleep(down)
@@ -84,7 +90,8 @@
 		h.out = h.centres[h.random.IntN(len(h.centres))]
 		h.store.Put(briarspring.DirectoryStream, imitator.OutRecord(h.out, true))
 	},
-	"back": func(h *history) { h.takeBack() },
+	"back":  func(h *history) { h.takeBack() },
+	"power": func(h *history) { h.power() },
 	"cancel": func(h *history) {
 		if len(h.accepted) == 0 {
 			return
@@ -108,6 +115,50 @@
 	"store-slow", "store-lossy", "store-forget", "late-orders", "crash-worker", "crash-worker", "out", "back", "cancel",
 }
 
+// laterActs came after seeds of earlier histories were kept.
+var laterActs = append(slices.Clone(actNames), "power")
+
+// power kills all hosts at once. While they come back, callers hand the same
+// workflows in at several of them.
+func (h *history) power() {
+	for _, centre := range h.centres {
+		for i := range hostsPerCentre {
+			host, down := h.host(centre, i), h.upTo(time.Second)
+			h.replace(host, func() { h.kill(host, down) })
+		}
+	}
+	for range 12 {
+		id := briarspring.WorkflowID(fmt.Sprintf("%015x%x", len(h.workflows)+1, h.random.IntN(16)))
+		steps := []briarspring.Step{shortStep(1)}
+		h.mu.Lock()
+		h.workflows[id] = &briarspring.Workflow{ID: id, Steps: steps, MaxAttempts: testQueue.MaxAttempts}
+		h.mu.Unlock()
+		for _, centre := range h.centres {
+			number := h.random.IntN(hostsPerCentre)
+			h.duties.Go(func() { h.submitAt(centre, number, id, steps) })
+		}
+		time.Sleep(h.upTo(100 * time.Millisecond))
+	}
+	h.note("power is back")
+}
+
+// submitAt hands a workflow in at the present life of a host until it is
+// accepted.
+func (h *history) submitAt(centre string, number int, id briarspring.WorkflowID, steps []briarspring.Step) {
+	for range 40 {
+		ctx, cancel := context.WithTimeout(h.t.Context(), 2500*time.Millisecond)
+		err := h.host(centre, number).intake.Submit(ctx, testQueue, &briarspring.Workflow{ID: id, Steps: slices.Clone(steps)})
+		cancel()
+		if err == nil {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.twice[id] = true
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // replace begins to replace a host's process, unless that is going on already.
 func (h *history) replace(host *testHost, how func()) {
 	if host.leaving {
@@ -177,7 +228,10 @@
 		}
 	}
 	if h.random.IntN(4) == 0 {
-		h.failing[briarspring.TaskRef{Workflow: id}] = 1 + h.random.IntN(2)
+		times := 1 + h.random.IntN(2)
+		h.mu.Lock()
+		h.failing[briarspring.TaskRef{Workflow: id}] = times
+		h.mu.Unlock()
 	}
 	recurrence := briarspring.Recurrence{}
 	if h.kinds != nil && !steps[0].Lasting && h.kinds.IntN(4) == 0 {
@@ -226,21 +280,30 @@
 	}
 }
 
+// smallPage makes a host read many pages when it restores the shared state, while
+// others append to it.
+const smallPage = 3
+
 func runHistory(t *testing.T, seed uint64, kinds *rand.Rand) {
 	h := &history{
 		fleet: newFleet(t, seed, tartu, viljandi), random: rand.New(rand.NewPCG(seed, 7)), kinds: kinds,
-		cancelled: map[briarspring.WorkflowID]bool{}, down: map[string]bool{},
+		cancelled: map[briarspring.WorkflowID]bool{}, twice: map[briarspring.WorkflowID]bool{}, down: map[string]bool{},
 	}
 	defer h.end()
+	names := actNames
+	if kinds != nil {
+		h.store.SetPage(smallPage)
+		names = laterActs
+	}
 	for range 12 + h.random.IntN(18) {
-		name := actNames[h.random.IntN(len(actNames))]
+		name := names[h.random.IntN(len(names))]
 		h.note("%s", name)
 		acts[name](h)
 		time.Sleep(h.upTo(1500 * time.Millisecond))
 	}
 	h.heal()
 	assertNothingBroken(t, h.fleet)
-	for _, id := range h.accepted {
+	for _, id := range append(h.accepted, slices.Sorted(maps.Keys(h.twice))...) {
 		h.assertEnd(id)
 	}
 	if t.Failed() {
--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -138,10 +138,13 @@
 // start begins a new life of a host.
 func (f *fleet) start(centre string, number int) *testHost {
 	ctx, cancel := context.WithCancel(f.t.Context())
+	f.mu.Lock()
 	f.lives++
+	life := f.lives
+	f.mu.Unlock()
 	name := fmt.Sprintf("host-%s-%d", centre, number)
 	h := &testHost{
-		name: name, centre: centre, caller: fmt.Sprintf("%s#%d", name, f.lives), cancel: cancel, done: make(chan struct{}),
+		name: name, centre: centre, caller: fmt.Sprintf("%s#%d", name, life), cancel: cancel, done: make(chan struct{}),
 	}
 	var l *launcher.Launcher
 	l, h.intake = assembler.NewCore(assembler.HostConfig{
@@ -150,7 +153,9 @@
 		Store:     f.store.For(h.caller), Workers: f.pool.For(h.caller), Decoder: imitator.Decoder{},
 		Now: func() time.Duration { return time.Since(f.began) }, Logger: f.logger(h),
 	})
+	f.mu.Lock()
 	f.hosts[name] = h
+	f.mu.Unlock()
 	go func() {
 		defer close(h.done)
 		l.Run(ctx)
@@ -197,6 +202,8 @@
 
 // host returns the present life of a host.
 func (f *fleet) host(centre string, number int) *testHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.hosts[fmt.Sprintf("host-%s-%d", centre, number)]
 }
 
@@ -210,8 +217,10 @@
 	f.workflows[id] = &briarspring.Workflow{ID: id, Steps: steps, MaxAttempts: testQueue.MaxAttempts, Recurrence: r}
 	f.mu.Unlock()
 	for try := range 6 {
+		f.mu.Lock()
 		names := slices.Sorted(maps.Keys(f.hosts))
 		h := f.hosts[names[(int(id[len(id)-1])+try)%len(names)]]
+		f.mu.Unlock()
 		ctx, cancel := context.WithTimeout(f.t.Context(), 2500*time.Millisecond)
 		err := h.intake.Submit(ctx, testQueue, &briarspring.Workflow{ID: id, Steps: slices.Clone(steps), Recurrence: r})
 		cancel()
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -355,6 +355,27 @@
 	})
 }
 
+// A new owner that had not read the list of workers yet gave tasks away that the
+// earlier one had just started.
+func TestTransfersAfterTakeover(t *testing.T) {
+	elsewhere := func(*briarspring.Step) string { return "viljandi" }
+	old := newSite(t, dispatcher.Config{Token: 1}, 1)
+	old.d.Submit(old.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+	old.plan()
+	s := &site{t: t, now: old.now, workers: old.workers}
+	s.d = dispatcher.New(s.now, dispatcher.Config{Token: 9, Predecessor: true, DataCentre: "tartu", Lease: 5500 * time.Millisecond, MaxLease: 6 * time.Second})
+	s.d.SetOut(s.now, true)
+	s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+	s.plan()
+	assert.Empty(t, s.d.TakeTransfers(s.now, elsewhere), "no worker is known")
+	s.d.SetWorkers(s.now, []briarspring.WorkerEntry{s.workers["w0"].entry})
+	s.plan()
+	assert.Empty(t, s.d.TakeTransfers(s.now, elsewhere), "the worker has not answered")
+	s.hold("w0")
+	s.plan()
+	assert.Empty(t, s.d.TakeTransfers(s.now, elsewhere), "the task runs")
+}
+
 // A task that left and came back while the owner read nothing counted as leaving
 // for good.
 func TestTaskThatLeftAndCameBack(t *testing.T) {
--- a/dispatcher/transfer.go
+++ b/dispatcher/transfer.go
@@ -31,7 +31,8 @@
 // the transfer turns out to be void.
 func (d *Dispatcher) TakeTransfers(now time.Duration, choose func(*briarspring.Step) string) []Transfer {
 	d.now = now
-	if !d.open() {
+	if !d.listed || !d.open() {
+		// An earlier owner may have started them on workers that are not known yet.
 		return nil
 	}
 	var list []Transfer
--- a/imitator/keyed.go
+++ b/imitator/keyed.go
@@ -18,6 +18,7 @@
 	random  *rand.Rand
 	faults  KeyedFaults
 	streams map[string]*keyedStream
+	page    int // Most records of an answer to Newest.
 }
 
 // KeyedFaults are the failures of a KeyedStore that can be switched while it
@@ -44,7 +45,15 @@
 
 // NewKeyedStore returns an empty store; the seed chooses which answers are lost.
 func NewKeyedStore(seed uint64) *KeyedStore {
-	return &KeyedStore{random: rand.New(rand.NewPCG(seed, seed)), streams: map[string]*keyedStream{}}
+	return &KeyedStore{random: rand.New(rand.NewPCG(seed, seed)), streams: map[string]*keyedStream{}, page: newestPage}
+}
+
+// SetPage changes how many newest records an answer holds at most. Pages are no
+// snapshot, so small ones show callers that take them for one.
+func (s *KeyedStore) SetPage(records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.page = records
 }
 
 // SetFaults replaces the failures.
@@ -259,9 +268,9 @@
 		}
 	}
 	slices.SortFunc(page.Records, func(a, b briarspring.KeyedRecord) int { return cmp.Compare(a.Key, b.Key) })
-	more := len(page.Records) > newestPage
+	more := len(page.Records) > c.store.page
 	if more {
-		page.Records = page.Records[:newestPage]
+		page.Records = page.Records[:c.store.page]
 	}
 	return page, more, nil
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -135,7 +135,10 @@
 // Restore applies the newest record of every key and drops workflows that are
 // no longer kept. The records must have been read after everything that was
 // applied before; end is the offset that followed the last record when the
-// reading began.
+// reading began. Pages of newest records are no snapshot: a later page may hold a
+// record from the end on whose predecessors were on an earlier page that was read
+// before. Records whose order decides are therefore left to Apply, which gets
+// everything from the end on.
 func (r *Registry) Restore(now time.Duration, records []briarspring.KeyedRecord, end uint64) ([]Change, []error) {
 	records = slices.Clone(records)
 	slices.SortFunc(records, func(a, b briarspring.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
@@ -146,6 +149,9 @@
 		if rest, ok := strings.CutPrefix(rec.Key, prefixSubmission); ok {
 			kept[idOf(rest)] = true
 		}
+		if rec.Offset >= end && orderDecides(rec.Key) {
+			continue
+		}
 		change, err := r.apply(now, rec)
 		if err != nil {
 			errs = append(errs, err)
@@ -163,6 +169,17 @@
 	return changes, errs
 }
 
+// orderDecides reports whether the first of several records has effect, or whether
+// one has depends on those before.
+func orderDecides(key string) bool {
+	for _, prefix := range []string{prefixSubmission, prefixTransfer, prefixClaim} {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Registry) apply(now time.Duration, rec briarspring.KeyedRecord) (Change, error) {
 	kind, rest, found := strings.Cut(rec.Key, "/")
 	if !found {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -1,6 +1,8 @@
 package registrar_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,11 +83,33 @@
 	return r
 }
 
-// assertBoth checks a host that read everything and one that was restored.
+// restoredMeanwhile returns the state of a host that began to read pages of the
+// newest records when the stream had a length, and read one of the later records
+// on a later page, before it read on from that length.
+func (s *stream) restoredMeanwhile(length, late int) *registrar.Registry {
+	records := slices.Clone(s.records[:length])
+	records = append(records, s.records[late])
+	r := registrar.New()
+	_, errs := r.Restore(time.Second, records, uint64(length))
+	require.Empty(s.t, errs)
+	for _, rec := range s.records[length:] {
+		_, err := r.Apply(time.Second, rec)
+		require.NoError(s.t, err)
+	}
+	return r
+}
+
+// assertBoth checks a host that read everything and ones that were restored.
 func assertBoth(t *testing.T, s *stream, check func(t *testing.T, r *registrar.Registry)) {
 	t.Helper()
 	t.Run("live", func(t *testing.T) { check(t, s.live()) })
 	t.Run("restored", func(t *testing.T) { check(t, s.restored()) })
+	for length := range s.records {
+		for late := length; late < len(s.records); late++ {
+			name := fmt.Sprintf("restored at %d with %d from a later page", length, late)
+			t.Run(name, func(t *testing.T) { check(t, s.restoredMeanwhile(length, late)) })
+		}
+	}
 }
 
 func TestTheFirstRecordCounts(t *testing.T) {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -200,7 +200,8 @@
 
 // Newest reads the newest record of every key of a stream, and the stream's end
 // when the reading began. Pages are read one after the other, so records at or
-// after the end may be among them.
+// after the end may be among them. The error is a *StaleError when a page is older
+// than the first.
 func Newest(ctx context.Context, store Store, stream string) (records []briarspring.KeyedRecord, end uint64, err error) {
 	after := ""
 	for first := true; ; first = false {
@@ -213,6 +214,10 @@
 		if first {
 			end = page.End
 		}
+		if page.End < end {
+			// A record before the end may be missing from this page for good.
+			return nil, 0, &StaleError{Stream: stream, End: page.End, Known: end}
+		}
 		records = append(records, page.Records...)
 		if !more || len(page.Records) == 0 {
 			return records, end, nil
