Later steps wait from when they are ready

Cause: the time since which a task waits was set at its submission and after its runs, not when the steps before it were done. Logs told waits of seconds for tasks that started at once; a later step that found no worker at that moment went to another data centre without the 150 ms that the rule gives it, and work that fills took the worker where it slows others least without waiting 1.2 s.

--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -153,7 +153,7 @@
 		d.counters.Done++
 		w.streak = 0
 		d.learnTime(t, r)
-		t.finish()
+		t.finish(d.now)
 	case briarspring.RunFailed:
 		d.counters.Failed++
 		t.fail(e.Run.Run)
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -230,7 +230,7 @@
 	t.lastRun = p.Run
 	t.checkpoint = p.Checkpoint
 	if p.Done {
-		t.finish()
+		t.finish(d.now)
 		return
 	}
 	if p.Worker == "" {
@@ -244,8 +244,9 @@
 	})
 }
 
-// finish marks the task done.
-func (t *task) finish() {
+// finish marks the task done. Steps that waited for it wait for workers from now
+// on.
+func (t *task) finish(now time.Duration) {
 	if t.done {
 		return
 	}
@@ -257,7 +258,23 @@
 	if t.step.spec().Gang {
 		// One end that is done stands for all.
 		for _, o := range t.step.tasks {
-			o.finish()
+			o.finish(now)
+		}
+	}
+	if t.step.left == 0 {
+		t.step.job.awaken(t.step, now)
+	}
+}
+
+// awaken notes since when the tasks of the steps after one could start.
+func (j *job) awaken(done *step, now time.Duration) {
+	for i := range j.workflow.Steps {
+		s := j.stepOf(done.occurrence, i)
+		if !slices.Contains(s.spec().After, done.number) || !s.ready(now) {
+			continue
+		}
+		for _, t := range s.tasks {
+			t.readySince = max(t.readySince, now)
 		}
 	}
 }
--- a/dispatcher/recurrence_test.go
+++ b/dispatcher/recurrence_test.go
@@ -92,3 +92,21 @@
 		}
 	}
 }
+
+// Tasks of a later step seemed to wait since the submission, and went to another
+// data centre the moment that they were ready.
+func TestLaterStepsWaitFromWhenTheyAreReady(t *testing.T) {
+	s := newSite(t, dispatcher.Config{Token: 1}, 1)
+	wide := step(1, 9000) // More than the worker has.
+	wide.After = []int{0}
+	s.d.Submit(s.now, 0, workflow("a", step(1, 1000), wide), 5, nil, nil)
+	s.plan()
+	s.later(time.Second)
+	s.endOf(0, 0)
+	s.holdAll()
+	s.plan()
+	elsewhere := func(*briarspring.Step) string { return "viljandi" }
+	assert.Empty(t, s.d.TakeTransfers(s.now, elsewhere))
+	s.later(200 * time.Millisecond)
+	assert.Len(t, s.d.TakeTransfers(s.now, elsewhere), 1)
+}
