Sums of lasting tasks are kept up with every record

Cause: an owner plans up to 300 times a second, and each plan went through all workflows that the host knows, finished ones among them, to add what lasting tasks reserve in each data centre. That grows with the workflows of the last two minutes. The registry now keeps the sums; a test compares them with those of all workflows after each record and after restores of every kind.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,21 +55,13 @@
 
 // Options returns the data centres as a host knows them.
 func Options(now time.Duration, dataCentres []string, r *registrar.Registry, c Catalogue) []Option {
-	lasting := map[string]int64{}
-	r.Workflows(func(e *registrar.Entry) {
-		if w := e.Workflow(); w.Lasting() && !e.Phase().Final() {
-			for position := range w.Steps[0].Tasks {
-				lasting[e.DataCentre(position)] += w.Steps[0].Resources.MilliCPU()
-			}
-		}
-	})
 	var options []Option
 	for _, name := range dataCentres {
 		beat := r.Beat(name)
 		o := Option{
 			DataCentre: name, Out: c.Out(name), Owned: r.Claim(name).Owner != "", BeatAge: now - beat.At,
 			Free: beat.Content.Free, Largest: beat.Content.Largest, Total: beat.Content.Total, Rooms: beat.Content.Rooms,
-			Lasting: lasting[name],
+			Lasting: r.Lasting(name),
 		}
 		if beat.Content.Total > 0 {
 			o.Backlog = float64(beat.Content.Backlog) / float64(beat.Content.Total)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -74,6 +74,7 @@
 	owners    map[string]*owners // By data centre.
 	hosts     map[string]briarspring.HostPresence
 	waiting   map[string]int                      // By queue.
+	lasting   map[string]int64                    // By data centre; see Lasting.
 	models    map[string][]briarspring.PressModel // By data centre.
 }
 
@@ -84,6 +85,7 @@
 		owners:    map[string]*owners{},
 		hosts:     map[string]briarspring.HostPresence{},
 		waiting:   map[string]int{},
+		lasting:   map[string]int64{},
 		models:    map[string][]briarspring.PressModel{},
 	}
 }
@@ -113,6 +115,11 @@
 // has started.
 func (r *Registry) Waiting(queue string) int { return r.waiting[queue] }
 
+// Lasting returns how many thousandths of a core the first steps of lasting
+// workflows reserve in a data centre, as far as these are not over. It is kept up
+// with every record, since owners ask several hundred times a second.
+func (r *Registry) Lasting(dataCentre string) int64 { return r.lasting[dataCentre] }
+
 // Models returns what the owners of all data centres have learned last.
 func (r *Registry) Models() []briarspring.PressModel {
 	var all []briarspring.PressModel
@@ -249,6 +256,7 @@
 	e.workflow = w
 	e.offset = rec.Offset
 	r.countWaiting(e, 1)
+	r.countLasting(e, 1)
 	return Change{Workflow: id}, nil
 }
 
@@ -259,12 +267,24 @@
 	}
 }
 
+// countLasting adds n times what a lasting workflow reserves that is not over.
+func (r *Registry) countLasting(e *Entry, n int64) {
+	if e.workflow == nil || !e.workflow.Lasting() || e.Phase().Final() {
+		return
+	}
+	first := e.workflow.Steps[0]
+	for position := range first.Tasks {
+		r.lasting[e.DataCentre(position)] += n * first.Resources.MilliCPU()
+	}
+}
+
 func (r *Registry) cancel(now time.Duration, id briarspring.WorkflowID) (Change, error) {
 	e := r.entry(id)
 	if e.cancelled {
 		return Change{}, nil
 	}
 	r.countWaiting(e, -1)
+	r.countLasting(e, -1)
 	e.cancelled = true
 	if !e.phase.Final() {
 		e.finalAt = now
@@ -282,7 +302,9 @@
 		return Change{}, nil
 	}
 	r.countWaiting(e, -1)
+	r.countLasting(e, -1)
 	e.phase = phase
+	r.countLasting(e, 1)
 	if phase.Final() {
 		e.finalAt = now
 	}
@@ -312,6 +334,8 @@
 		e.transfers = map[string]bool{}
 	}
 	e.transfers[name] = true
+	r.countLasting(e, -1)
+	defer r.countLasting(e, 1)
 	for _, p := range t.Tasks {
 		if e.DataCentre(p.Position) == t.From {
 			e.moved[p.Position] = Moved{To: t.To, Progress: p, Count: e.moved[p.Position].Count + 1}
@@ -323,6 +347,7 @@
 func (r *Registry) forget(id briarspring.WorkflowID) {
 	if e := r.workflows[id]; e != nil {
 		r.countWaiting(e, -1)
+		r.countLasting(e, -1)
 		delete(r.workflows, id)
 	}
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -42,6 +42,14 @@
 	s.add(registrar.SubmissionKey(id, registrar.NewTry()), value, err)
 }
 
+func (s *stream) submitLasting(id briarspring.WorkflowID, dataCentre string) {
+	needs := briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: 3000, MemoryMiB: 1})
+	value, err := encoder.Submission(&briarspring.Workflow{
+		ID: id, DataCentre: dataCentre, Queue: "lasting", Steps: []briarspring.Step{{Tasks: 3, Resources: needs, Lasting: true}},
+	})
+	s.add(registrar.SubmissionKey(id, registrar.NewTry()), value, err)
+}
+
 func (s *stream) transfer(id briarspring.WorkflowID, token uint64, number int, from, to string) {
 	value, err := encoder.TaskTransfer(briarspring.TaskTransfer{
 		Token: token, From: from, To: to, Tasks: []briarspring.TaskProgress{{Position: 1, Run: 3}},
@@ -99,6 +107,43 @@
 	return r
 }
 
+// assertLasting compares the sums that are kept with those of all workflows.
+func assertLasting(t *testing.T, r *registrar.Registry) {
+	t.Helper()
+	sums := map[string]int64{"tartu": 0, "viljandi": 0, "voru": 0}
+	r.Workflows(func(e *registrar.Entry) {
+		if w := e.Workflow(); w.Lasting() && !e.Phase().Final() {
+			for position := range w.Steps[0].Tasks {
+				sums[e.DataCentre(position)] += w.Steps[0].Resources.MilliCPU()
+			}
+		}
+	})
+	for dataCentre, want := range sums {
+		assert.Equal(t, want, r.Lasting(dataCentre), dataCentre)
+	}
+}
+
+func TestLasting(t *testing.T) {
+	s := &stream{t: t}
+	s.submitLasting("a", "tartu")
+	s.submitLasting("b", "viljandi")
+	s.submitLasting("c", "tartu")
+	token := s.claim("host-1", 0)
+	s.transfer("a", token, 1, "tartu", "viljandi")
+	s.phase(registrar.RunningKey("b"), briarspring.PhaseRunning)
+	s.add(registrar.CancelKey("b"), []byte{1}, nil)
+	s.transfer("c", token, 2, "tartu", "voru")
+	s.add(registrar.CancelKey("c"), []byte{1}, nil)
+	s.phase(registrar.FinalKey("a"), briarspring.PhaseFailed)
+	assertBoth(t, s, assertLasting)
+	r := registrar.New()
+	for _, rec := range s.records {
+		_, err := r.Apply(time.Second, rec)
+		require.NoError(t, err)
+		assertLasting(t, r)
+	}
+}
+
 // assertBoth checks a host that read everything and ones that were restored.
 func assertBoth(t *testing.T, s *stream, check func(t *testing.T, r *registrar.Registry)) {
 	t.Helper()
