--- a/demonstrator/example_workflows.go
+++ b/demonstrator/example_workflows.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -191,7 +192,7 @@
 // watch notes when workflows are completed until all are, but for the lasting
 // one.
 func (r *workflowRun) watch(ctx context.Context) error {
-	return until(ctx, jobsLimit, "the end of all workflows", func() bool {
+	err := until(ctx, jobsLimit, "the end of all workflows", func() bool {
 		m, err := r.client.ListWorkflows(ctx, connect.NewRequest(&pb.ListWorkflowsRequest{Phase: briarspring.PhaseCompleted.String()}))
 		if err != nil {
 			return false
@@ -205,6 +206,25 @@
 		}
 		return len(r.completed)+len(r.failures) >= workflowCount
 	})
+	if err != nil && ctx.Err() == nil {
+		return fmt.Errorf("%w: %s", err, r.unfinished(ctx))
+	}
+	return err
+}
+
+// unfinished tells how far the workflows are that are not completed.
+func (r *workflowRun) unfinished(ctx context.Context) string {
+	m, err := r.client.ListWorkflows(ctx, connect.NewRequest(&pb.ListWorkflowsRequest{}))
+	if err != nil {
+		return err.Error()
+	}
+	var list []string
+	for _, w := range m.Msg.GetWorkflows() {
+		if w.GetPhase() != briarspring.PhaseCompleted.String() && w.GetQueue() != queueLasting {
+			list = append(list, fmt.Sprintf("%s is %s in %v", w.GetId(), w.GetPhase(), w.GetTasksIn()))
+		}
+	}
+	return strings.Join(list, ", ")
 }
 
 // atWork counts the lasting tasks that run.
