Recurrences whose times overflow are refused

Cause, found when reading: an interval or first time beyond 292 years overflows a time.Duration and makes an occurrence due at once. Workflows may span 100 years and begin before 2101; longer intervals are refused where they are decoded.

Tests: `go test . -run Recurrences`, `go test ./platform -run Front`.

--- a/workflow.go
+++ b/workflow.go
@@ -40,6 +40,26 @@
 	Interval time.Duration // Between two occurrences, which may overlap.
 }
 
+const (
+	// maxSpan from the first to the last occurrence, and lastFirst, the latest that
+	// the first may be due, keep times within what a time.Duration from now holds,
+	// which is 292 years.
+	maxSpan   = 100 * 365 * 24 * time.Hour
+	lastFirst = 2100 // Year.
+)
+
+func (r Recurrence) check() string {
+	switch {
+	case r.Times == 0:
+		return ""
+	case r.Times < 0 || r.Interval < 0 || r.Interval > maxSpan/time.Duration(r.Times):
+		return fmt.Sprintf("its %d occurrences every %s span more than %s", r.Times, r.Interval, maxSpan)
+	case r.First.UTC().Year() > lastFirst:
+		return fmt.Sprintf("its first occurrence is due after the year %d", lastFirst)
+	}
+	return ""
+}
+
 // Due returns when an occurrence is due, counted from zero.
 func (r Recurrence) Due(occurrence int) time.Time {
 	return r.First.Add(time.Duration(occurrence) * r.Interval)
@@ -79,6 +99,9 @@
 	if n := w.TaskCount(); n < 1 || n > MaxTasks {
 		return &InvalidError{Object: "workflow/" + string(w.ID), Reason: fmt.Sprintf("it has %d tasks, allowed are 1 to %d", n, MaxTasks)}
 	}
+	if why := w.Recurrence.check(); why != "" {
+		return &InvalidError{Object: "workflow/" + string(w.ID), Reason: why}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/workflow_test.go
@@ -0,0 +1,40 @@
+package briarspring_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"briarspring"
+)
+
+func TestCheckOfRecurrences(t *testing.T) {
+	soon := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+	tests := []struct {
+		name  string
+		r     briarspring.Recurrence
+		valid bool
+	}{
+		{"none", briarspring.Recurrence{}, true},
+		{"every night for years", briarspring.Recurrence{Times: 3000, First: soon, Interval: 24 * time.Hour}, true},
+		{"long ago", briarspring.Recurrence{Times: 2, First: time.Unix(0, 0), Interval: time.Second}, true},
+		{"longer than a century", briarspring.Recurrence{Times: 60000, First: soon, Interval: 24 * time.Hour}, false},
+		{"longer than times can tell", briarspring.Recurrence{Times: 1, First: soon, Interval: math.MaxInt64}, false},
+		{"backwards", briarspring.Recurrence{Times: 2, First: soon, Interval: -time.Second}, false},
+		{"in another age", briarspring.Recurrence{Times: 1, First: time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC)}, false},
+		{"more tasks than allowed", briarspring.Recurrence{Times: briarspring.MaxTasks + 1, First: soon}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := briarspring.Workflow{ID: "w", Steps: []briarspring.Step{{Tasks: 1}}, Recurrence: tt.r}
+			var invalid *briarspring.InvalidError
+			if err := w.Check(); tt.valid {
+				assert.NoError(t, err)
+			} else {
+				assert.ErrorAs(t, err, &invalid)
+			}
+		})
+	}
+}
