The recorder's test fills the ring while the writer is busy

The test now waits until the writer is in its one-second write before it fills the ring; what it checks is unchanged. The recorder is unchanged.

--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -32,6 +32,10 @@
 		r := recorder.New(to)
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.Run(ctx)
+		_, err := r.Write([]byte("line\n"))
+		assert.NoError(t, err)
+		// From now on the writer is busy for a second, so that the ring fills up.
+		synctest.Wait()
 		began := time.Now()
 		for range 5000 {
 			_, err := r.Write([]byte("line\n"))
