Names and numbers of recurrences and gangs; one check of a recurrence's times

A method carried the wire's name mayMiss. - Tests made a new owner's dispatcher by hand in two places, and random histories and the soak held bare numbers.

Ruled out: one check of a workflow in the admitter instead of at each decoder; a file and a client's body are to be refused with their own kinds of error.

--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -102,7 +102,7 @@
 		}
 		h.cancelled[id] = true
 		host := h.randomHost()
-		ctx, cancel := context.WithTimeout(h.t.Context(), 2500*time.Millisecond)
+		ctx, cancel := context.WithTimeout(h.t.Context(), submitLimit)
 		defer cancel()
 		known, err := host.intake.Cancel(ctx, id)
 		h.note("cancel %s at %s: %t %v", id, host.caller, known, err)
@@ -118,16 +118,29 @@
 // laterActs came after seeds of earlier histories were kept.
 var laterActs = append(slices.Clone(actNames), "power")
 
+const (
+	// powerCallers workflows are handed in, powerPause apart at most, while hosts
+	// come back that are down for powerDown at most; so some find hosts that restore.
+	powerCallers = 12
+	powerDown    = time.Second
+	powerPause   = 100 * time.Millisecond
+	// submitTries with submitPause between them last longer than hosts need to be
+	// up, submitLimit bounds one of them below the callers' 3 s.
+	submitTries = 40
+	submitPause = 50 * time.Millisecond
+	submitLimit = 2500 * time.Millisecond
+)
+
 // power kills all hosts at once. While they come back, callers hand the same
 // workflows in at several of them.
 func (h *history) power() {
 	for _, centre := range h.centres {
 		for i := range hostsPerCentre {
-			host, down := h.host(centre, i), h.upTo(time.Second)
+			host, down := h.host(centre, i), h.upTo(powerDown)
 			h.replace(host, func() { h.kill(host, down) })
 		}
 	}
-	for range 12 {
+	for range powerCallers {
 		id := briarspring.WorkflowID(fmt.Sprintf("%015x%x", len(h.workflows)+1, h.random.IntN(16)))
 		steps := []briarspring.Step{shortStep(1)}
 		h.mu.Lock()
@@ -137,7 +150,7 @@
 			number := h.random.IntN(hostsPerCentre)
 			h.duties.Go(func() { h.submitAt(centre, number, id, steps) })
 		}
-		time.Sleep(h.upTo(100 * time.Millisecond))
+		time.Sleep(h.upTo(powerPause))
 	}
 	h.note("power is back")
 }
@@ -145,8 +158,8 @@
 // submitAt hands a workflow in at the present life of a host until it is
 // accepted.
 func (h *history) submitAt(centre string, number int, id briarspring.WorkflowID, steps []briarspring.Step) {
-	for range 40 {
-		ctx, cancel := context.WithTimeout(h.t.Context(), 2500*time.Millisecond)
+	for range submitTries {
+		ctx, cancel := context.WithTimeout(h.t.Context(), submitLimit)
 		err := h.host(centre, number).intake.Submit(ctx, testQueue, &briarspring.Workflow{ID: id, Steps: slices.Clone(steps)})
 		cancel()
 		if err == nil {
@@ -155,7 +168,7 @@
 			h.twice[id] = true
 			return
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(submitPause)
 	}
 }
 
--- a/assembler/host_test.go
+++ b/assembler/host_test.go
@@ -221,7 +221,7 @@
 		names := slices.Sorted(maps.Keys(f.hosts))
 		h := f.hosts[names[(int(id[len(id)-1])+try)%len(names)]]
 		f.mu.Unlock()
-		ctx, cancel := context.WithTimeout(f.t.Context(), 2500*time.Millisecond)
+		ctx, cancel := context.WithTimeout(f.t.Context(), submitLimit)
 		err := h.intake.Submit(ctx, testQueue, &briarspring.Workflow{ID: id, Steps: slices.Clone(steps), Recurrence: r})
 		cancel()
 		if err == nil {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -30,9 +30,8 @@
 }
 
 func newSite(t *testing.T, c dispatcher.Config, workers int) *site {
-	c.DataCentre, c.Lease, c.MaxLease = "tartu", 5500*time.Millisecond, 6*time.Second
 	s := &site{t: t, now: time.Minute, workers: map[string]*fakeWorker{}}
-	s.d = dispatcher.New(s.now, c)
+	s.begin(c)
 	var entries []briarspring.WorkerEntry
 	for i := range workers {
 		e := briarspring.WorkerEntry{
@@ -47,6 +46,19 @@
 	return s
 }
 
+// begin makes the dispatcher of a new owner.
+func (s *site) begin(c dispatcher.Config) {
+	c.DataCentre, c.Lease, c.MaxLease = "tartu", 5500*time.Millisecond, 6*time.Second
+	s.d = dispatcher.New(s.now, c)
+}
+
+// successor returns the same workers under a new owner that does not know of them.
+func (s *site) successor(token uint64) *site {
+	next := &site{t: s.t, now: s.now, workers: s.workers}
+	next.begin(dispatcher.Config{Token: token, Predecessor: true})
+	return next
+}
+
 // holdAll renews every worker's lease and takes in what it says.
 func (s *site) holdAll() {
 	for i := range len(s.workers) {
--- a/dispatcher/drain.go
+++ b/dispatcher/drain.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// mayMiss reports whether one more task of a lasting step may be stopped, in view
+// mayStopOne reports whether one more task of a lasting step may be stopped, in view
 // of how many are not at work.
-func (s *step) mayMiss() bool {
+func (s *step) mayStopOne() bool {
 	most := s.spec().MaxMissing
 	if most == 0 {
 		return true
@@ -81,7 +81,7 @@
 		case !r.task.step.spec().Lasting:
 		case r.stopping:
 			return nil
-		case r.state == runAlive && r.task.step.mayMiss() && d.bestReserved(r.task) != nil:
+		case r.state == runAlive && r.task.step.mayStopOne() && d.bestReserved(r.task) != nil:
 			movable = append(movable, r)
 		}
 	}
--- a/dispatcher/gang.go
+++ b/dispatcher/gang.go
@@ -57,8 +57,8 @@
 	return false
 }
 
-// seat is a worker that was chosen for a member of a gang.
-type seat struct {
+// booking is a worker that was chosen for a member of a gang.
+type booking struct {
 	task   *task
 	worker *worker
 	share  float64 // Of full speed.
@@ -72,9 +72,9 @@
 	if s.waiting != s.left || d.exhausted(s.tasks[0]) || slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.pending() }) {
 		return
 	}
-	seats := d.seatGang(s)
+	bookings := d.bookGang(s)
 	number := s.lastRun() + 1
-	for _, p := range seats {
+	for _, p := range bookings {
 		r := d.startRun(p.task, p.worker, number)
 		if s.spec().Fills {
 			d.setPace(r, percentOf(p.share))
@@ -82,25 +82,25 @@
 	}
 }
 
-// seatGang chooses workers for all members of a gang; nil while there is no room
+// bookGang chooses workers for all members of a gang; nil while there is no room
 // for all. Racks come first where one rack is better, until the gang has waited
 // for as long as its tasks take: that is the least that several racks cost.
-func (d *Dispatcher) seatGang(s *step) []seat {
+func (d *Dispatcher) bookGang(s *step) []booking {
 	if !s.spec().OneRack {
-		return d.seat(s)
+		return d.bookAll(s)
 	}
 	for _, rack := range d.racks() {
 		s.within = rack
-		seats := d.seat(s)
+		bookings := d.bookAll(s)
 		s.within = ""
-		if seats != nil {
-			return seats
+		if bookings != nil {
+			return bookings
 		}
 	}
 	if d.now-s.waitsSince() < d.expectedStep(s) && d.mayFitOneRack(s) {
 		return nil
 	}
-	return d.seat(s)
+	return d.bookAll(s)
 }
 
 // waitsSince returns since when all tasks of the step could have started.
@@ -112,11 +112,11 @@
 	return since
 }
 
-// seat chooses workers for all tasks of a step; nil when one finds none.
-func (d *Dispatcher) seat(s *step) []seat {
-	var seats []seat
+// bookAll chooses workers for all tasks of a step; nil when one finds none.
+func (d *Dispatcher) bookAll(s *step) []booking {
+	var bookings []booking
 	for _, t := range s.tasks {
-		p := seat{task: t}
+		p := booking{task: t}
 		if s.spec().Fills {
 			p.worker, p.share = d.chooseFilling(t)
 		} else {
@@ -126,20 +126,20 @@
 			if !s.spec().Fills && s.within == "" {
 				d.makeRoom(t)
 			}
-			s.leave(seats)
+			s.unbook(bookings)
 			return nil
 		}
 		p.weight = p.worker.book(s.spec())
 		s.spread[p.worker]++
-		seats = append(seats, p)
+		bookings = append(bookings, p)
 	}
-	s.leave(seats)
-	return seats
+	s.unbook(bookings)
+	return bookings
 }
 
-// leave gives seats up that were booked while the others were chosen.
-func (s *step) leave(seats []seat) {
-	for _, p := range seats {
+// unbook releases what was booked while the others were chosen.
+func (s *step) unbook(bookings []booking) {
+	for _, p := range bookings {
 		p.worker.release(s.spec(), p.weight)
 		if s.spread[p.worker]--; s.spread[p.worker] == 0 {
 			delete(s.spread, p.worker)
--- a/dispatcher/gang_test.go
+++ b/dispatcher/gang_test.go
@@ -147,8 +147,7 @@
 		old := newSite(t, dispatcher.Config{Token: 1}, 2)
 		old.d.Submit(old.now, 0, workflow("a", gang(3, 2000)), 5, nil, nil)
 		old.plan()
-		s := &site{t: t, now: old.now, workers: old.workers}
-		s.d = dispatcher.New(s.now, dispatcher.Config{Token: 9, Predecessor: true, DataCentre: "tartu", Lease: 5500 * time.Millisecond, MaxLease: 6 * time.Second})
+		s := old.successor(9)
 		s.d.Submit(s.now, 0, workflow("a", gang(3, 2000)), 5, nil, nil)
 		s.d.SetWorkers(s.now, []briarspring.WorkerEntry{old.workers["w0"].entry, old.workers["w1"].entry})
 		s.hold("w0")
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -262,12 +262,12 @@
 		}
 	}
 	if t.step.left == 0 {
-		t.step.job.awaken(t.step, now)
+		t.step.job.markReady(t.step, now)
 	}
 }
 
-// awaken notes since when the tasks of the steps after one could start.
-func (j *job) awaken(done *step, now time.Duration) {
+// markReady notes since when the tasks of the steps after one could start.
+func (j *job) markReady(done *step, now time.Duration) {
 	for i := range j.workflow.Steps {
 		s := j.stepOf(done.occurrence, i)
 		if !slices.Contains(s.spec().After, done.number) || !s.ready(now) {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -109,11 +109,7 @@
 	}
 	slices.SortFunc(reserved, compareReserved)
 	for _, c := range reserved {
-		if c.step.spec().Gang {
-			d.assignGang(c.step)
-			continue
-		}
-		d.assignReserved(c.step)
+		d.assignStep(c.step)
 	}
 	for _, j := range d.jobs {
 		if j.over() || !open && d.inherited(j) {
@@ -125,11 +121,19 @@
 	}
 	slices.SortFunc(filling, compareFilling)
 	for _, c := range filling {
-		if c.step.spec().Gang {
-			d.assignGang(c.step)
-			continue
-		}
-		d.assignFilling(c.step)
+		d.assignStep(c.step)
+	}
+}
+
+// assignStep starts the waiting tasks of a step.
+func (d *Dispatcher) assignStep(s *step) {
+	switch {
+	case s.spec().Gang:
+		d.assignGang(s)
+	case s.spec().Fills:
+		d.assignFilling(s)
+	default:
+		d.assignReserved(s)
 	}
 }
 
--- a/dispatcher/transfer_test.go
+++ b/dispatcher/transfer_test.go
@@ -51,8 +51,7 @@
 	old := newSite(t, dispatcher.Config{Token: 1}, 1)
 	old.d.Submit(old.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
 	old.plan()
-	s := &site{t: t, now: old.now, workers: old.workers}
-	s.d = dispatcher.New(s.now, dispatcher.Config{Token: 9, Predecessor: true, DataCentre: "tartu", Lease: 5500 * time.Millisecond, MaxLease: 6 * time.Second})
+	s := old.successor(9)
 	s.d.SetOut(s.now, true)
 	s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
 	s.plan()
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -34,20 +34,16 @@
 	return &pb.Recurrence{Times: int32(r.Times), FirstDueMs: r.First.UnixMilli(), IntervalMs: r.Interval.Milliseconds()}
 }
 
-// maxIntervalMs is the longest interval that a time.Duration holds.
-const maxIntervalMs = math.MaxInt64 / int64(time.Millisecond)
-
 // DecodeRecurrence returns how often and when steps run, or a *MalformedError.
 func DecodeRecurrence(m *pb.Recurrence) (briarspring.Recurrence, error) {
 	if m == nil {
 		return briarspring.Recurrence{}, nil
 	}
-	if m.Times < 1 || m.Times > briarspring.MaxTasks || m.IntervalMs < 0 || m.IntervalMs > maxIntervalMs || m.FirstDueMs < 0 {
-		return briarspring.Recurrence{}, malformed("workflow", "its steps run %d times, from %d ms on, every %d ms", m.Times, m.FirstDueMs, m.IntervalMs)
+	r, err := briarspring.NewRecurrence(int(m.Times), m.FirstDueMs, m.IntervalMs)
+	if err != nil {
+		return r, &MalformedError{What: "workflow", Cause: err}
 	}
-	return briarspring.Recurrence{
-		Times: int(m.Times), First: time.UnixMilli(m.FirstDueMs), Interval: time.Duration(m.IntervalMs) * time.Millisecond,
-	}, nil
+	return r, nil
 }
 
 // EncodeSteps returns the messages of a workflow's steps.
--- a/imitator/check.go
+++ b/imitator/check.go
@@ -7,7 +7,8 @@
 	"briarspring"
 )
 
-// earlyStart is how much before its time an occurrence may start.
+// earlyStart is how much before its time an occurrence may start, as the platform
+// states it.
 const earlyStart = 250 * time.Millisecond
 
 // poolStart is a start, for the account of what must hold.
--- a/imitator/gang.go
+++ b/imitator/gang.go
@@ -6,7 +6,8 @@
 	"briarspring"
 )
 
-// gangWait is how long a member of a gang waits for the others.
+// gangWait is how long a member of a gang waits for the others; the platform
+// states 3 to 4 s.
 const gangWait = 3 * time.Second
 
 // member is a run of a gang that is alive.
--- a/workflow.go
+++ b/workflow.go
@@ -48,6 +48,18 @@
 	lastFirst = 2100 // Year.
 )
 
+// NewRecurrence returns a recurrence of times in milliseconds, the first of them
+// Unix, or an *InvalidError for one that no time.Duration holds.
+func NewRecurrence(times int, firstMs, intervalMs int64) (Recurrence, error) {
+	if times < 1 || times > MaxTasks || firstMs < 0 || intervalMs < 0 || intervalMs > maxSpan.Milliseconds() {
+		reason := fmt.Sprintf("%d occurrences from %d ms on, every %d ms", times, firstMs, intervalMs)
+		return Recurrence{}, &InvalidError{Object: "recurrence", Reason: reason}
+	}
+	return Recurrence{
+		Times: times, First: time.UnixMilli(firstMs), Interval: time.Duration(intervalMs) * time.Millisecond,
+	}, nil
+}
+
 func (r Recurrence) check() string {
 	switch {
 	case r.Times == 0:
