Plan with cached views of workers, and no more starts than can be sent

Cause: a start of a burst sorted and modelled the runs of every worker: 198 us a start with 220 workers and 385 us with 440, a pass of 174 and 677 ms on a whole core (burst measurement, before). Renewals, heartbeats and stops waited for it on 0.8 of a core. Ruled out: logging and the progress batch, which the profile of the pass does not show.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -65,7 +65,7 @@
 // removable reports whether the job is cancelled, finished or transferred and
 // has no live run.
 func (j *job) removable() bool {
-	return (j.cancelled || j.finalPhaseStored || j.transferredAway) && j.liveRuns() == 0
+	return (j.cancelled || j.finalPhaseStored || j.transferredAway) && j.live == 0
 }
 
 // progress returns the progress records of the tasks that have run.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -37,9 +37,9 @@
 type Pacer interface {
 	// Decide returns the new paces of best-effort tasks on a worker.
 	Decide(now time.Duration, worker string, serving []ServingTask, bestEffort []BestEffortTask) []Pace
-	// SpeedFraction returns the share of full speed at which one more task of
-	// an image could work on a worker.
-	SpeedFraction(worker, image string, cores float64, serving []ServingTask, bestEffort []BestEffortTask) float64
+	// Allowance returns how many cores one more task of an image could use on a
+	// worker: positive infinity if it interferes with nothing there.
+	Allowance(worker, image string, serving []ServingTask, bestEffort []BestEffortTask) float64
 	// Interferes reports whether an image interferes with any of the
 	// long-running tasks.
 	Interferes(image string, serving []ServingTask) bool
@@ -91,6 +91,9 @@
 	startsFrom         time.Duration            // Earliest start of inherited workflows.
 	takeoverLogged     bool
 
+	startsLeft       int   // Starts that the present pass may still order.
+	unmet            unmet // Needs without a worker in the present pass.
+	optionBuffer     optionHeap
 	orders           []Order
 	dirty            map[briarspring.WorkflowID]*job // Jobs whose progress records have to be stored.
 	needsPlan        bool                            // Something changed since the last plan.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -15,7 +15,7 @@
 // fixture is a dispatcher with workers that answer at once. The test advances
 // its time.
 type fixture struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Duration
 	d       *dispatcher.Dispatcher
 	workers map[string]*fakeWorker
@@ -29,7 +29,7 @@
 	number    uint64
 }
 
-func newFixture(t *testing.T, c dispatcher.Config, workers int) *fixture {
+func newFixture(t testing.TB, c dispatcher.Config, workers int) *fixture {
 	s := &fixture{t: t, now: time.Minute, workers: map[string]*fakeWorker{}}
 	s.newOwner(c)
 	var entries []briarspring.WorkerEntry
@@ -381,14 +381,14 @@
 	})
 }
 
-// stubPacer limits best-effort tasks to a share of full speed.
+// stubPacer limits best-effort tasks of one core to a share of full speed.
 type stubPacer struct{ share float64 }
 
 func (stubPacer) Decide(time.Duration, string, []dispatcher.ServingTask, []dispatcher.BestEffortTask) []dispatcher.Pace {
 	return nil
 }
 
-func (p stubPacer) SpeedFraction(string, string, float64, []dispatcher.ServingTask, []dispatcher.BestEffortTask) float64 {
+func (p stubPacer) Allowance(string, string, []dispatcher.ServingTask, []dispatcher.BestEffortTask) float64 {
 	return p.share
 }
 
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -101,6 +101,7 @@
 		d.handleRunning(w, sent, t)
 	}
 	d.checkUnlisted(w, sent, listed)
+	w.runsChanged()
 	d.stopStalled(w)
 	d.endProbe(w)
 	for ref := range w.orphans {
@@ -309,6 +310,7 @@
 		return
 	}
 	r.stopping = true
+	r.worker.runsChanged()
 	d.counters.Stops++
 	d.logger.Info("stopping run", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
 		"run", r.ref.Run, "worker", r.worker.id, "why", why)
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -21,6 +21,7 @@
 	hasProgressRecord bool              // A progress record is stored or on its way.
 	size              float64           // Declared work of one occurrence, in millicore seconds.
 	transferredAway   bool              // All tasks were transferred to other data centres.
+	live              int               // Runs that may be alive.
 }
 
 // step is a group of identical tasks of a job.
@@ -104,15 +105,6 @@
 // inactive reports whether no task of the job may start any more.
 func (j *job) inactive() bool { return j.cancelled || j.transferredAway || j.phase.Final() }
 
-// liveRuns returns the number of runs that may be alive.
-func (j *job) liveRuns() int {
-	n := 0
-	for _, t := range j.tasks {
-		n += len(t.runs)
-	}
-	return n
-}
-
 // unfinishedWork returns the declared work of the unfinished tasks of an
 // occurrence, in millicore seconds.
 func (j *job) unfinishedWork(occurrence int) int64 {
@@ -170,6 +162,7 @@
 		t.step.waiting--
 	}
 	t.runs = append(t.runs, r)
+	t.step.job.live++
 	t.lastRun = max(t.lastRun, r.ref.Run)
 	t.step.spread[r.worker]++
 }
@@ -181,6 +174,7 @@
 			continue
 		}
 		t.runs = append(t.runs[:i], t.runs[i+1:]...)
+		t.step.job.live--
 		if t.step.spread[r.worker]--; t.step.spread[r.worker] == 0 {
 			delete(t.step.spread, r.worker)
 		}
@@ -290,7 +284,7 @@
 	}
 	j.cancelled = true
 	d.needsPlan = true
-	d.logger.Info("workflow cancelled", "workflow", id, "runs", j.liveRuns(), "phase", j.phase.String())
+	d.logger.Info("workflow cancelled", "workflow", id, "runs", j.live, "phase", j.phase.String())
 	d.stopAll(j)
 }
 
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -14,8 +14,8 @@
 	// minIdleShare is the share of full speed at which an image must be able to
 	// run on a worker for the idle processors there to be reported for it.
 	minIdleShare = 0.7
-	// typicalCores is the size of the task for which that share is computed.
-	typicalCores = 2.0
+	// typicalMilliCPU is the size of the task for which that share is computed.
+	typicalMilliCPU = 2000
 )
 
 // Load returns the backlog of declared work and the free processors, as
@@ -89,13 +89,8 @@
 	if idle <= 0 {
 		return
 	}
-	var latency []ServingTask
-	var bestEffort []BestEffortTask
-	if d.config.Pacer != nil {
-		latency, bestEffort = w.latencyTasks(d.now), w.bestEffortTasks()
-	}
 	for _, i := range images {
-		if d.config.Pacer == nil || d.config.Pacer.SpeedFraction(w.id, i.image, typicalCores, latency, bestEffort) >= minIdleShare {
+		if d.speedFraction(w, i.image, typicalMilliCPU) >= minIdleShare {
 			idleByImage[i.image] += idle
 		}
 	}
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -42,6 +42,7 @@
 		return
 	}
 	r.startAnsweredAt = d.now
+	w.runsChanged()
 	if v == briarspring.VerdictDone {
 		r.state = runAlive
 		if r.pace != r.paceSent {
@@ -93,6 +94,7 @@
 	waited := d.now - t.readySince
 	d.addRun(r)
 	d.counters.Starts++
+	d.startsLeft--
 	w.leaseUntil = max(w.leaseUntil, r.startBy)
 	j := t.step.job
 	d.markDirty(j)
--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -36,7 +36,8 @@
 		return
 	}
 	w.pacesDecidedAt = d.now
-	latency, bestEffort := w.latencyTasks(d.now), w.bestEffortTasks()
+	view := w.runView(d.now)
+	latency, bestEffort := view.serving, view.bestEffort
 	if d.logger.IsDebug() {
 		d.logger.Debug("reading", "worker", w.id, "serving", fmt.Sprint(latency), "filling", fmt.Sprint(bestEffort), "uses", w.describeUsage())
 	}
@@ -88,7 +89,7 @@
 		if spec.Checkpoints && slowed < slowLimit || !spec.Checkpoints && (slowed < slowLimitUnsaved || r.progress > maxUnsavedPercent) {
 			continue
 		}
-		if r.task.step.job.liveRuns() == 1 {
+		if r.task.step.job.live == 1 {
 			// It is the only run of its workflow, so it stays unless another worker
 			// is better.
 			if other, share := d.cheapestBestEffort(r.task); other == nil || other == w || share < moveShare {
@@ -113,6 +114,9 @@
 	cpu := r.task.step.spec().Resources.MilliCPU() * int64(percent) / fullSpeed
 	r.worker.bestEffortCPU += cpu - r.bestEffortCPU
 	r.bestEffortCPU = cpu
+	if r.state == runAlive {
+		r.worker.runsChanged()
+	}
 	d.needsPlan = true
 }
 
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -2,10 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
-
-	"briarspring"
 )
 
 const (
@@ -56,13 +55,22 @@
 }
 
 // Plan decides which tasks start now and returns all orders that are due.
-func (d *Dispatcher) Plan(now time.Duration) []Order {
+func (d *Dispatcher) Plan(now time.Duration) []Order { return d.PlanUpTo(now, math.MaxInt) }
+
+// PlanUpTo does the same with a limit on the starts, the most urgent ones first.
+// The next call continues with the others. It answers bursts of which the caller
+// can't send everything at once: a start that waits to be sent may be carried out
+// too late, and keeps the place of one that becomes more urgent.
+func (d *Dispatcher) PlanUpTo(now time.Duration, maxStarts int) []Order {
 	d.now = now
+	d.startsLeft = maxStarts
 	d.expireLeases()
-	if d.needsPlan {
+	if d.needsPlan && maxStarts > 0 {
 		d.needsPlan = false
 		d.assign()
 		d.drainWorkers()
+		// The starts of this pass make no room, so they need no further one.
+		d.needsPlan = d.startsLeft <= 0
 	}
 	orders := d.orders
 	d.orders = nil
@@ -88,6 +96,7 @@
 		return
 	}
 	mayStartInherited := d.inheritedMayStart()
+	d.unmet = unmet{}
 	var reserved, bestEffort []candidate
 	for _, j := range d.jobs {
 		if j.inactive() || !mayStartInherited && d.inherited(j) {
@@ -130,6 +139,7 @@
 // assignStep starts the waiting tasks of a step.
 func (d *Dispatcher) assignStep(s *step) {
 	switch {
+	case d.startsLeft <= 0:
 	case s.spec().Gang:
 		d.assignGang(s)
 	case s.spec().BestEffort:
@@ -236,16 +246,27 @@
 
 // assignReserved starts the waiting tasks of a step with reserved processors.
 func (d *Dispatcher) assignReserved(s *step) {
+	options := d.newStepOptions(func(w *worker) (cost, share float64, ok bool) {
+		if !d.fits(s, w) {
+			return 0, 0, false
+		}
+		return d.reservedCost(s, w), 1, true
+	})
+	defer options.release(d)
 	for _, t := range s.tasks {
 		if !t.pending() || d.exhausted(t) {
 			continue
 		}
-		w := d.bestReserved(t)
-		if w == nil {
+		if d.startsLeft <= 0 {
+			return
+		}
+		o, ok := options.take(t.avoidWorker)
+		if !ok {
 			d.preemptFor(t)
 			return
 		}
-		d.start(t, w)
+		d.start(t, o.worker)
+		options.putBack(o)
 	}
 }
 
@@ -255,25 +276,33 @@
 	return !t.step.spec().LongRunning && most > 0 && t.failures() >= most
 }
 
-// fits reports whether a task may run on a worker and has room there.
-func (d *Dispatcher) fits(t *task, w *worker) bool {
-	return d.eligible(t, w) && reservation(t.step.spec()).Fits(w.free())
+// fits reports whether a task of a step may run on a worker and has room there.
+func (d *Dispatcher) fits(s *step, w *worker) bool {
+	return d.eligible(s, w) && reservation(s.spec()).Fits(w.free())
 }
 
-// eligible reports whether a task may run on a worker, regardless of free
-// capacity.
-func (d *Dispatcher) eligible(t *task, w *worker) bool {
-	spec := t.step.spec()
-	if w.entry.Service != t.step.job.workflow.Service || !w.acceptsStarts(d.now) {
+// eligible reports whether a task of a step may run on a worker, regardless of
+// free capacity.
+func (d *Dispatcher) eligible(s *step, w *worker) bool {
+	spec := s.spec()
+	if w.entry.Service != s.job.workflow.Service || !w.acceptsStarts(d.now) {
 		return false
 	}
 	if spec.Requirement != "" && !slices.Contains(w.entry.Labels, spec.Requirement) {
 		return false
 	}
-	if t.step.rack != "" && t.step.rack != w.entry.Rack {
+	if s.rack != "" && s.rack != w.entry.Rack {
 		return false
 	}
-	return spec.MaxPerWorker <= 0 || t.step.spread[w] < spec.MaxPerWorker
+	return spec.MaxPerWorker <= 0 || s.spread[w] < spec.MaxPerWorker
+}
+
+// avoidanceCost returns the cost of the worker where the task failed last.
+func (t *task) avoidanceCost(w *worker) float64 {
+	if t.avoidWorker == w {
+		return avoidCost
+	}
+	return 0
 }
 
 // bestReserved returns the best worker for a task with reserved processors, or
@@ -284,10 +313,10 @@
 	var best *worker
 	var bestCost float64
 	for _, w := range d.workersByID {
-		if !d.fits(t, w) {
+		if !d.fits(t.step, w) {
 			continue
 		}
-		cost := d.reservedCost(t, w)
+		cost := d.reservedCost(t.step, w) + t.avoidanceCost(w)
 		if best == nil || cost < bestCost {
 			best, bestCost = w, cost
 		}
@@ -315,31 +344,14 @@
 	groupGain = 3e3
 )
 
-// countLongRunning returns the numbers of long-running tasks of an image and of
-// other images.
-func (w *worker) countLongRunning(image string) (same, others int) {
-	for _, r := range w.runs {
-		spec := r.task.step.spec()
-		switch {
-		case !spec.LongRunning:
-		case spec.Image == image:
-			same++
-		default:
-			others++
-		}
-	}
-	return same, others
-}
-
-func (d *Dispatcher) reservedCost(t *task, w *worker) float64 {
-	spec := t.step.spec()
+// reservedCost returns the cost of a task of a step on a worker.
+func (d *Dispatcher) reservedCost(s *step, w *worker) float64 {
+	spec := s.spec()
 	cost := float64(w.free().MilliCPU())
 	if spec.LongRunning {
-		same, others := w.countLongRunning(spec.Image)
-		cost = -freeWeight*cost + spreadCost*float64(t.step.spread[w]) + mixCost*float64(others) - groupGain*float64(same)
-	}
-	if t.avoidWorker == w {
-		cost += avoidCost
+		v := w.runView(d.now)
+		same := v.longRunning[spec.Image]
+		cost = -freeWeight*cost + spreadCost*float64(s.spread[w]) + mixCost*float64(v.total-same) - groupGain*float64(same)
 	}
 	if spec.Rack != "" && spec.Rack != w.entry.Rack {
 		cost += rackCost
@@ -349,11 +361,25 @@
 
 // assignBestEffort starts the waiting tasks of a best-effort step.
 func (d *Dispatcher) assignBestEffort(s *step) {
+	var options *stepOptions
 	for _, t := range s.tasks {
 		if !t.pending() || d.exhausted(t) {
 			continue
 		}
-		w, share := d.chooseBestEffort(t)
+		if d.startsLeft <= 0 {
+			return
+		}
+		if options == nil {
+			options = d.bestEffortOptions(s)
+			defer options.release(d)
+		}
+		if o, ok := options.take(t.avoidWorker); ok {
+			d.startAt(t, o.worker, o.share)
+			options.putBack(o)
+			continue
+		}
+		d.unmet.add(s)
+		w, share := d.starvedWorker(t)
 		if w == nil {
 			d.logWaiting(t)
 			return
@@ -362,13 +388,31 @@
 	}
 }
 
+// bestEffortOptions returns the workers for the tasks of a best-effort step,
+// none if a step that needs no more found none in this pass.
+func (d *Dispatcher) bestEffortOptions(s *step) *stepOptions {
+	if d.unmet.covers(s) {
+		return &stepOptions{heap: d.optionBuffer[:0]}
+	}
+	return d.newStepOptions(func(w *worker) (cost, share float64, ok bool) { return d.rateBestEffort(s, w) })
+}
+
+// starvedWorker returns the fastest worker for a starving task, however slow it
+// is, and the share of full speed there.
+func (d *Dispatcher) starvedWorker(t *task) (*worker, float64) {
+	if !d.starving(t) {
+		return nil, 0
+	}
+	return d.fastestWorker(t)
+}
+
 // chooseBestEffort returns the worker for a best-effort task and the share of
 // full speed at which it may work, or nil if there is none. A starving task
 // takes the fastest worker even if it is slow.
 func (d *Dispatcher) chooseBestEffort(t *task) (*worker, float64) {
 	w, share := d.cheapestBestEffort(t)
-	if w == nil && d.starving(t) {
-		return d.fastestWorker(t)
+	if w == nil {
+		return d.starvedWorker(t)
 	}
 	return w, share
 }
@@ -381,7 +425,7 @@
 	noFit, busy, interfering := 0, 0, 0
 	for _, w := range d.workersByID {
 		switch {
-		case !d.fits(t, w):
+		case !d.fits(t.step, w):
 			noFit++
 		case w.idle() < float64(t.step.spec().Resources.MilliCPU())*bestEffortLimit:
 			busy++
@@ -414,55 +458,43 @@
 	interferenceGain = 0.8
 )
 
+// rateBestEffort returns the cost of a best-effort task on a worker and the share
+// of full speed at which it may work there, or false if the worker does not have
+// enough idle processors that it may use. The cost grows with the share of
+// processors in use.
+func (d *Dispatcher) rateBestEffort(s *step, w *worker) (cost, share float64, ok bool) {
+	spec := s.spec()
+	if !d.fits(s, w) || w.idle() < float64(spec.Resources.MilliCPU())*bestEffortLimit {
+		return 0, 0, false
+	}
+	share = d.speedFraction(w, spec.Image, spec.Resources.MilliCPU())
+	if share < minShare {
+		return 0, 0, false
+	}
+	cost = 1 - w.idle()/float64(max(1, w.entry.Capacity.MilliCPU())) + slowdownCost*(1-share)
+	if share == 1 {
+		cost -= interferenceGain * d.interferingFraction(w)
+	}
+	if spec.Rack != "" && spec.Rack != w.entry.Rack {
+		cost++
+	}
+	return cost, share, true
+}
+
 // cheapestBestEffort returns the worker for a best-effort task and the share of
-// full speed at which it may work, or nil if no worker has enough idle
-// processors that it may use.
+// full speed at which it may work, or nil if no worker takes it.
 func (d *Dispatcher) cheapestBestEffort(t *task) (*worker, float64) {
-	spec := t.step.spec()
-	need := float64(spec.Resources.MilliCPU())
 	var best *worker
 	var bestCost, bestShare float64
 	for _, w := range d.workersByID {
-		if !d.fits(t, w) || w.idle() < need*bestEffortLimit {
+		cost, share, ok := d.rateBestEffort(t.step, w)
+		if !ok {
 			continue
 		}
-		share, interfering := d.shareOn(t, w)
-		if share < minShare {
-			continue
-		}
-		cost := d.bestEffortCost(t, w) + slowdownCost*(1-share)
-		if share == 1 {
-			cost -= interferenceGain * interfering
-		}
+		cost += t.avoidanceCost(w)
 		if best == nil || cost < bestCost {
 			best, bestCost, bestShare = w, cost, share
 		}
 	}
 	return best, bestShare
 }
-
-// shareOn returns the share of full speed at which a best-effort task could
-// work on a worker, and the share of all images that interfere with something
-// there.
-func (d *Dispatcher) shareOn(t *task, w *worker) (share, interfering float64) {
-	if d.config.Pacer == nil {
-		return 1, 0
-	}
-	spec := t.step.spec()
-	cores := float64(spec.Resources.MilliCPU()) / briarspring.MilliCPUPerCore
-	latency := w.latencyTasks(d.now)
-	return d.config.Pacer.SpeedFraction(w.id, spec.Image, cores, latency, w.bestEffortTasks()), d.config.Pacer.InterferingFraction(latency)
-}
-
-// bestEffortCost returns a cost that grows with the share of processors in use.
-func (d *Dispatcher) bestEffortCost(t *task, w *worker) float64 {
-	spec := t.step.spec()
-	cost := 1 - w.idle()/float64(max(1, w.entry.Capacity.MilliCPU()))
-	if t.avoidWorker == w {
-		cost += avoidCost
-	}
-	if spec.Rack != "" && spec.Rack != w.entry.Rack {
-		cost++
-	}
-	return cost
-}
--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -33,7 +33,7 @@
 // stopping counts as free.
 func (d *Dispatcher) victims(t *task, w *worker) ([]*run, bool) {
 	spec := t.step.spec()
-	if !d.eligible(t, w) || spec.Resources.MilliCPU() > w.free().MilliCPU() {
+	if !d.eligible(t.step, w) || spec.Resources.MilliCPU() > w.free().MilliCPU() {
 		return nil, false
 	}
 	missingMiB := spec.Resources.MemoryMiB() - w.free().MemoryMiB()
@@ -79,19 +79,20 @@
 // starving reports whether a task has waited too long while nothing of its
 // workflow runs.
 func (d *Dispatcher) starving(t *task) bool {
-	return d.now-t.readySince > starvationTime && t.step.job.liveRuns() == 0
+	return d.now-t.readySince > starvationTime && t.step.job.live == 0
 }
 
 // fastestWorker returns the worker on which a best-effort task may work
 // fastest, however slow that is, and the share of full speed there.
 func (d *Dispatcher) fastestWorker(t *task) (*worker, float64) {
+	spec := t.step.spec()
 	var best *worker
 	bestShare := -1.0
 	for _, w := range d.workersByID {
-		if !d.fits(t, w) {
+		if !d.fits(t.step, w) {
 			continue
 		}
-		if share, _ := d.shareOn(t, w); share > bestShare {
+		if share := d.speedFraction(w, spec.Image, spec.Resources.MilliCPU()); share > bestShare {
 			best, bestShare = w, share
 		}
 	}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -48,8 +48,9 @@
 	runs           map[briarspring.RunRef]*run
 	orphans        map[briarspring.RunRef]time.Duration // Runs of unknown tasks, with the time their stop was sent.
 	reserved       briarspring.Resources
-	bestEffortCPU  int64 // Declared millicores of best-effort tasks, scaled by their pace.
-	longRunningCPU int64 // Declared millicores of long-running tasks.
+	view           *runView // Nil if it has to be computed.
+	bestEffortCPU  int64    // Declared millicores of best-effort tasks, scaled by their pace.
+	longRunningCPU int64    // Declared millicores of long-running tasks.
 
 	failureStreak    int // Failed runs since the last successful one.
 	quarantinedUntil time.Duration
@@ -215,6 +216,7 @@
 	r.worker.runs[r.ref] = r
 	r.bestEffortCPU = r.worker.reserve(r.task.step.spec())
 	r.task.attachRun(r)
+	r.worker.runAdded(r)
 	d.needsPlan = true
 }
 
@@ -246,6 +248,7 @@
 func (d *Dispatcher) removeRun(r *run) {
 	w := r.worker
 	delete(w.runs, r.ref)
+	w.runsChanged()
 	w.release(r.task.step.spec(), r.bestEffortCPU)
 	if w.probe == r {
 		w.probe = nil
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -105,10 +105,10 @@
 	return slices.ContainsFunc(serving, func(s dispatcher.ServingTask) bool { return p.RisePerCore(s.Image, image) >= interferingRise })
 }
 
-// SpeedFraction returns the fraction of full speed at which one more task of an
-// image could run on a worker.
-func (p *Pacer) SpeedFraction(worker, image string, cores float64, serving []dispatcher.ServingTask, bestEffort []dispatcher.BestEffortTask) float64 {
-	share := 1.0
+// Allowance returns how many cores one more task of an image could use on a
+// worker: positive infinity if it interferes with nothing there.
+func (p *Pacer) Allowance(worker, image string, serving []dispatcher.ServingTask, bestEffort []dispatcher.BestEffortTask) float64 {
+	allowance := math.Inf(1)
 	for _, s := range serving {
 		if s.TailRatio >= stopTail {
 			// The cause of the high tail isn't certain, so no task is added.
@@ -122,9 +122,9 @@
 		for _, f := range bestEffort {
 			headroom -= p.fullSpeedRise(f, s) * float64(f.Percent) / fullSpeed
 		}
-		share = min(share, headroom/(rise*cores))
+		allowance = min(allowance, headroom/rise)
 	}
-	return max(0, share)
+	return max(0, allowance)
 }
 
 // headroom returns how much interfering tasks may raise a tail on average.
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -13,6 +13,11 @@
 	"briarspring/pacer"
 )
 
+// speedFraction returns the share of full speed that a pacer allows one more task.
+func speedFraction(p *pacer.Pacer, worker, image string, cores float64, serving []dispatcher.ServingTask, tasks []dispatcher.BestEffortTask) float64 {
+	return min(1, p.Allowance(worker, image, serving, tasks)/cores)
+}
+
 // simulation is a data centre with known interference: "heavy" raises the tail
 // of "ledger" only, "light" raises none. Tails follow the load with a lag.
 type simulation struct {
@@ -76,15 +81,15 @@
 		assert.Less(t, s.p.RisePerCore("archive", "heavy"), 0.05)
 	})
 	t.Run("sends images where they do not interfere", func(t *testing.T) {
-		assert.Less(t, s.p.SpeedFraction("new", "heavy", 2, lowTail("ledger"), nil), 0.5)
-		assert.InDelta(t, 1, s.p.SpeedFraction("new", "heavy", 2, lowTail("archive"), nil), 0)
-		assert.InDelta(t, 1, s.p.SpeedFraction("new", "light", 2, lowTail("ledger"), nil), 0)
+		assert.Less(t, speedFraction(s.p, "new", "heavy", 2, lowTail("ledger"), nil), 0.5)
+		assert.InDelta(t, 1, speedFraction(s.p, "new", "heavy", 2, lowTail("archive"), nil), 0)
+		assert.InDelta(t, 1, speedFraction(s.p, "new", "light", 2, lowTail("ledger"), nil), 0)
 	})
 	// Guards against starting task after task of an image considered harmless on a
 	// worker whose tail that image raises; each ran until the next measurement.
 	t.Run("sends no task where a tail is too high", func(t *testing.T) {
 		hot := []dispatcher.ServingTask{{Image: "archive", TailRatio: 1.2, Measured: true}}
-		assert.Zero(t, s.p.SpeedFraction("new", "light", 2, hot, nil))
+		assert.Zero(t, speedFraction(s.p, "new", "light", 2, hot, nil))
 	})
 	t.Run("returns the fraction of interfering images", func(t *testing.T) {
 		assert.InDelta(t, 0.5, s.p.InterferingFraction(lowTail("ledger")), 0)
@@ -94,8 +99,8 @@
 		next := pacer.New()
 		next.AdoptModels(s.p.Models())
 		assert.InDelta(t, 0.5, next.RisePerCore("ledger", "heavy"), 0.1)
-		assert.Less(t, next.SpeedFraction("w", "heavy", 2, lowTail("ledger"), nil), 0.5)
-		assert.InDelta(t, 1, next.SpeedFraction("w", "heavy", 2, lowTail("archive"), nil), 0)
+		assert.Less(t, speedFraction(next, "w", "heavy", 2, lowTail("ledger"), nil), 0.5)
+		assert.InDelta(t, 1, speedFraction(next, "w", "heavy", 2, lowTail("archive"), nil), 0)
 	})
 	t.Run("is not replaced by less precise estimates", func(t *testing.T) {
 		s.p.AdoptModels([]briarspring.InterferenceModel{{Serving: "ledger", Pairs: []briarspring.InterferencePair{{Image: "heavy", Rise: 0, Variance: 0.02}}}})
--- a/steward/term.go
+++ b/steward/term.go
@@ -333,7 +333,9 @@
 			ow.applyWorkerList(ctx, now, goroutines)
 		}
 		ow.planAndSend(ctx, now, goroutines)
-		_ = sleeper.For(ctx, minPlanInterval)
+		// A pass is followed by a pause at least as long, so that a backlog of
+		// any size leaves half of the processor to renewals, heartbeats and stops.
+		_ = sleeper.For(ctx, max(minPlanInterval, ow.config.Now()-now))
 	}
 }
 
@@ -412,10 +414,11 @@
 	}
 }
 
-// planAndSend runs a planning pass and sends its orders.
+// planAndSend runs a planning pass and sends its orders. It plans no more starts
+// than can be sent at once, so that they don't age in a queue.
 func (ow *ownership) planAndSend(ctx context.Context, now time.Duration, goroutines *sync.WaitGroup) {
 	ow.mu.Lock()
-	orders := ow.engine.Plan(now)
+	orders := ow.engine.PlanUpTo(now, cap(ow.orderSlots)-len(ow.orderSlots))
 	ow.mu.Unlock()
 	for _, o := range orders {
 		select {
