Status answers read the log when asked; small hosts poll it less; pacing by share of a worker

On the large site 132 small hosts read five times a second each. Ruled out: a slower boundary between steps, which does not read the shared stream. Change: a status that isn't final is read for at once; small hosts read each 0.7 s, owners each 50 ms; progress is stored at most each 40 ms; the pacer counts cores as on a worker of 16.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -38,6 +38,9 @@
 	LastReadSent() (time.Duration, bool)
 	// Age returns the time since that read was sent.
 	Age() (time.Duration, bool)
+	// Refresh reads at once, and returns when everything that was stored before
+	// the call has been read, or when the context ends.
+	Refresh(ctx context.Context)
 }
 
 // Config holds the settings of an Admitter.
@@ -58,8 +61,11 @@
 	staleAge = 2200 * time.Millisecond
 	// retryPause is the pause between two attempts to store a record.
 	retryPause = 60 * time.Millisecond
-	// catchUpTimeout limits the wait for a read of the shared state: hosts start one
-	// every 0.2 s, and it waits up to 1 s for a record.
+	// refreshTimeout limits the wait for a read before a status is answered from
+	// the state at hand; a read takes a tenth of it.
+	refreshTimeout = 150 * time.Millisecond
+	// catchUpTimeout limits the wait for a read of the shared state, which may follow
+	// one that waits up to 0.6 s for a record.
 	catchUpTimeout = 1600 * time.Millisecond
 	// catchUpInterval is the polling interval of catchUp.
 	catchUpInterval = 10 * time.Millisecond
@@ -287,7 +293,7 @@
 // a *RefusedError if the local state is too old to decide that.
 func (a *Admitter) Phase(ctx context.Context, id briarspring.WorkflowID) (phase briarspring.Phase, known bool, err error) {
 	if phase, known = a.phase(id); known {
-		return phase, true, nil
+		return a.refreshed(ctx, id, phase), true, nil
 	}
 	// Another host may just have accepted it.
 	if err := a.catchUp(ctx); err != nil {
@@ -297,6 +303,22 @@
 	return phase, known, nil
 }
 
+// refreshed returns the phase of a workflow after a read, unless it is final
+// already. Callers ask when they expect the end, and reading then spares a poll
+// several times a second on every host.
+func (a *Admitter) refreshed(ctx context.Context, id briarspring.WorkflowID, phase briarspring.Phase) briarspring.Phase {
+	if phase.Final() {
+		return phase
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	a.config.Reading.Refresh(ctx)
+	if newer, known := a.phase(id); known {
+		return newer
+	}
+	return phase
+}
+
 func (a *Admitter) phase(id briarspring.WorkflowID) (phase briarspring.Phase, known bool) {
 	a.config.Replica.View(func(r *registrar.Registry) {
 		if e := r.Workflow(id); e != nil {
@@ -313,6 +335,7 @@
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	for a.Reachable() {
+		a.config.Reading.Refresh(ctx)
 		if fresh, ok := a.config.Reading.LastReadSent(); ok && fresh >= start {
 			return nil
 		}
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -56,14 +56,19 @@
 
 const (
 	// sharedReadWait is how long a read of the shared stream waits for the next
-	// record.
-	sharedReadWait = time.Second
+	// record. With smallReadInterval and a slow store's 0.8 s it stays below the
+	// age at which a host takes the log for unreachable.
+	sharedReadWait = 600 * time.Millisecond
 	// ownerReadInterval is the minimum time between two reads of the shared stream
 	// by an owner, which starts the workflows that it reads.
-	ownerReadInterval = 35 * time.Millisecond
-	// followerReadInterval is the same for other hosts, which only report the
-	// phases of workflows.
+	ownerReadInterval = 50 * time.Millisecond
+	// followerReadInterval is the same for a host that may soon have to claim a data
+	// centre, which needs a state of at most 0.4 s.
 	followerReadInterval = 200 * time.Millisecond
+	// smallReadInterval is the same for a host much smaller than others, which
+	// claims last. It reads when a caller asks, and hundreds of such hosts would
+	// make most of the calls to the log.
+	smallReadInterval = 700 * time.Millisecond
 	// directoryReadWait is how long a read waits for the operators' next change.
 	// Together with the call's timeout it stays below 3 s: a host must have read
 	// the directory 3 s after a cut ends.
@@ -106,10 +111,7 @@
 		})
 	}
 	sharedTracker := track(briarspring.SharedStream, replica, sharedReadWait, func() time.Duration {
-		if owned.Load() > 0 {
-			return ownerReadInterval
-		}
-		return followerReadInterval
+		return sharedReadInterval(owned.Load() > 0, c.MilliCPU, replica)
 	}, nil)
 	directoryTracker := track(briarspring.DirectoryStream, catalogue, directoryReadWait, nil, nil)
 	workersTracker := track(briarspring.WorkersStream, list, 0, func() time.Duration { return workersReadInterval }, func() bool { return owned.Load() > 0 })
@@ -149,6 +151,20 @@
 	return l, intake
 }
 
+// sharedReadInterval returns the minimum time between two reads of the shared
+// stream.
+func sharedReadInterval(owner bool, milliCPU int, replica *replicator.Replica) time.Duration {
+	if owner {
+		return ownerReadInterval
+	}
+	small := false
+	replica.View(func(r *registrar.Registry) { small = steward.IsSmall(milliCPU, r) })
+	if small {
+		return smallReadInterval
+	}
+	return followerReadInterval
+}
+
 // addServers adds the servers for callers and for the balancer's readiness
 // checks.
 func addServers(l *launcher.Launcher, c HostConfig, intake *admitter.Admitter) error {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -61,8 +61,8 @@
 type BestEffortTask struct {
 	Run      briarspring.RunRef
 	Image    string
-	Cores    float64 // Declared.
-	Used     float64 // Cores in use at the last reading.
+	Cores    float64 // Declared, scaled to a worker of the reference size.
+	Used     float64 // In use at the last reading, scaled alike.
 	Percent  int     // Pace at present, in percent of full speed.
 	Progress int     // Percent of its work.
 }
--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -152,6 +152,17 @@
 	return list
 }
 
+// referenceMilliCPU is the size of the worker to which cores are scaled for the
+// pacer. What a task does to its neighbours depends on the share of the worker's
+// processors that it uses, so a core of a worker with 64 counts a quarter.
+const referenceMilliCPU = 16 * briarspring.MilliCPUPerCore
+
+// referenceCores converts millicores of the worker to cores of a worker of the
+// reference size.
+func (w *worker) referenceCores(milliCPU float64) float64 {
+	return milliCPU / briarspring.MilliCPUPerCore * referenceMilliCPU / float64(max(1, w.entry.Capacity.MilliCPU()))
+}
+
 // bestEffortTasks returns the best-effort tasks on a worker.
 func (w *worker) bestEffortTasks() []BestEffortTask {
 	var list []BestEffortTask
@@ -161,7 +172,8 @@
 			continue
 		}
 		list = append(list, BestEffortTask{
-			Run: r.ref, Image: spec.Image, Cores: float64(spec.Resources.MilliCPU()) / briarspring.MilliCPUPerCore, Used: r.usage / briarspring.MilliCPUPerCore, Percent: r.pace, Progress: r.progress,
+			Run: r.ref, Image: spec.Image, Cores: w.referenceCores(float64(spec.Resources.MilliCPU())), Used: w.referenceCores(r.usage),
+			Percent: r.pace, Progress: r.progress,
 		})
 	}
 	slices.SortFunc(list, func(a, b BestEffortTask) int {
--- a/dispatcher/view.go
+++ b/dispatcher/view.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"briarspring"
 )
 
 // maxAllowanceAge is the age from which an allowance is computed anew although
@@ -22,7 +20,7 @@
 	longRunning map[string]int // Numbers of long-running tasks by image.
 	total       int            // Number of long-running tasks.
 
-	allowances   map[string]float64 // In cores, by image.
+	allowances   map[string]float64 // In cores of the reference size, by image.
 	interfering  float64            // Share of all images that interfere with a serving task; negative if not computed.
 	allowancesAt time.Duration
 }
@@ -93,7 +91,7 @@
 	if math.IsInf(allowance, 1) {
 		return 1
 	}
-	return min(1, allowance*briarspring.MilliCPUPerCore/float64(max(1, milliCPU)))
+	return min(1, allowance/w.referenceCores(float64(max(1, milliCPU))))
 }
 
 // interferingFraction returns the share of all images that interfere with a
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -240,6 +240,13 @@
 	}
 }
 
+// IsSmall reports whether much larger hosts than one with the given processors are
+// known, which claim before it.
+func IsSmall(milliCPU int, r *registrar.Registry) bool {
+	_, most := r.HostSizes()
+	return milliCPU*largerHostRatio < most
+}
+
 // claimIfDue claims the data centre if the claim rules ask for it.
 func (o *Owner) claimIfDue(ctx context.Context) {
 	state := o.claimState()
@@ -289,7 +296,7 @@
 			state.OwnerSmall = p.MilliCPU*largerHostRatio < most
 			state.Restarted = p.Incarnation > claim.Incarnation
 		}
-		state.Small = o.config.MilliCPU*largerHostRatio < most
+		state.Small = IsSmall(o.config.MilliCPU, r)
 		state.SizesDiffer = least*largerHostRatio < most
 		if claim.Owner == o.config.Host && claim.Incarnation == o.config.Incarnation {
 			// This process's ownership has ended, so the data centre has no owner.
--- a/steward/term.go
+++ b/steward/term.go
@@ -34,7 +34,7 @@
 	// simultaneous events share one.
 	minPlanInterval = 3 * time.Millisecond
 	// minCommitInterval is the minimum time between two appends of progress.
-	minCommitInterval = 20 * time.Millisecond
+	minCommitInterval = 40 * time.Millisecond
 	// minPublishInterval is the minimum time between two writes of phases, which
 	// callers poll at most a few times a second.
 	minPublishInterval = 30 * time.Millisecond
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,7 +73,12 @@
 	responseTime atomic.Int64 // Shortest of the last reads.
 	readTimes    [responseTimeReads]time.Duration
 	reads        int
+	waiting      atomic.Bool   // A read is waiting for the next record.
+	wake         chan struct{} // Ends the pause between two reads.
 	done         chan struct{}
+
+	mu    sync.Mutex
+	ended chan struct{} // Closed and replaced when a read has succeeded.
 }
 
 // New returns a tracker; Run makes it read.
@@ -80,7 +86,7 @@
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
-	t := &Tracker{config: c, done: make(chan struct{})}
+	t := &Tracker{config: c, wake: make(chan struct{}, 1), done: make(chan struct{}), ended: make(chan struct{})}
 	t.lastReadAt.Store(-1)
 	return t
 }
@@ -102,9 +108,61 @@
 	return t.config.Now() - at, ok
 }
 
+// Refresh makes the tracker read at once, and returns when everything that was
+// stored before the call has been read, or when the context ends. While a read is
+// waiting for the next record there is nothing to wait for.
+func (t *Tracker) Refresh(ctx context.Context) {
+	since := t.config.Now()
+	for !t.waiting.Load() {
+		t.mu.Lock()
+		ended := t.ended
+		t.mu.Unlock()
+		if at, ok := t.LastReadSent(); ok && at >= since {
+			return
+		}
+		select {
+		case t.wake <- struct{}{}:
+		default:
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// recordRead records a successful read that was sent at started.
+func (t *Tracker) recordRead(started time.Duration) {
+	t.lastReadAt.Store(int64(started))
+	t.recordReadTime(t.config.Now() - started)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(t.ended)
+	t.ended = make(chan struct{})
+}
+
+// pause waits for the rest of the interval after a read that was sent at started.
+// It reports whether Refresh ended the pause.
+func (t *Tracker) pause(ctx context.Context, started time.Duration) bool {
+	if t.config.Interval == nil {
+		return false
+	}
+	timer := time.NewTimer(t.config.Interval() - (t.config.Now() - started))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-t.wake:
+		return true
+	}
+	return false
+}
+
 // Run reads until the context ends.
 func (t *Tracker) Run(ctx context.Context) {
 	defer close(t.done)
+	refresh := false
 	for ctx.Err() == nil {
 		if t.config.Enabled != nil && !t.config.Enabled() {
 			t.restored = false
@@ -112,7 +170,11 @@
 			continue
 		}
 		started := t.config.Now()
-		if err := t.readOnce(ctx); err != nil {
+		wait := t.config.Wait
+		if refresh {
+			wait = 0
+		}
+		if err := t.readOnce(ctx, wait); err != nil {
 			t.recordFailure(ctx, err)
 			_ = sleeper.For(ctx, retryPause)
 			continue
@@ -121,11 +183,8 @@
 			t.config.Logger.Info("stream can be read again", "stream", t.config.Stream, "failures", t.failures, "offset", t.next)
 			t.failures = 0
 		}
-		t.lastReadAt.Store(int64(started))
-		t.recordReadTime(t.config.Now() - started)
-		if t.config.Interval != nil {
-			_ = sleeper.For(ctx, t.config.Interval()-(t.config.Now()-started))
-		}
+		t.recordRead(started)
+		refresh = t.pause(ctx, started)
 	}
 }
 
@@ -147,13 +206,15 @@
 }
 
 // readOnce makes one read, or restores the state if that is still to be done.
-func (t *Tracker) readOnce(ctx context.Context) error {
+func (t *Tracker) readOnce(ctx context.Context, wait time.Duration) error {
 	if !t.restored {
 		return t.restore(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, t.config.Wait+callMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
 	defer cancel()
-	page, err := t.config.Store.Read(ctx, t.config.Stream, t.next, t.config.Wait)
+	t.waiting.Store(wait > 0)
+	page, err := t.config.Store.Read(ctx, t.config.Stream, t.next, wait)
+	t.waiting.Store(false)
 	var trimmed *briarspring.TrimmedError
 	if errors.As(err, &trimmed) {
 		t.config.Logger.Info("records are no longer kept, restoring", "stream", t.config.Stream, "offset", t.next, "first-kept", trimmed.First)
