--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -35,7 +35,7 @@
 	interferingRise = 0.06
 	// peakFactor is the ratio of peak to average interference that is assumed at
 	// a gain of one; interference drifts.
-	peakFactor = 3.0
+	peakFactor = 2.0
 	// minGain and maxGain limit the gain that measurements apply to the headroom.
 	minGain = 0.1
 	maxGain = 1.0
