--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -32,6 +32,7 @@
 	store   *imitator.KeyedStore
 	pool    *imitator.Pool
 	centres []string
+	size    fleetSize
 	stop    context.CancelFunc
 	began   time.Time
 
@@ -85,12 +86,25 @@
 	workerCPU        = 8000
 )
 
-// newFleet starts data centres with hosts and workers, and waits until they
-// have owners.
+// fleetSize is the size of a fleet's data centres.
+type fleetSize struct {
+	workers int             // In each data centre.
+	hosts   int             // In each data centre.
+	cpu     func(i int) int // Millicores of a data centre's host.
+}
+
+var smallFleet = fleetSize{workers: workersPerCentre, hosts: hostsPerCentre, cpu: func(int) int { return 160 }}
+
+// newFleet starts data centres with a few hosts and workers, and waits until
+// they have owners.
 func newFleet(t *testing.T, seed uint64, centres ...string) *fleet {
+	return newSizedFleet(t, seed, smallFleet, centres...)
+}
+
+func newSizedFleet(t *testing.T, seed uint64, size fleetSize, centres ...string) *fleet {
 	ctx, cancel := context.WithCancel(t.Context())
 	f := &fleet{
-		t: t, store: imitator.NewKeyedStore(seed), centres: centres, stop: cancel, began: time.Now(),
+		t: t, store: imitator.NewKeyedStore(seed), centres: centres, size: size, stop: cancel, began: time.Now(),
 		workflows: map[briarspring.WorkflowID]*briarspring.Workflow{}, failing: map[briarspring.TaskRef]int{},
 		hosts: map[string]*testHost{},
 	}
@@ -98,10 +112,10 @@
 	f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
 	f.store.Put(briarspring.DirectoryStream, directoryRecord(t, 1))
 	for _, centre := range centres {
-		for i := range workersPerCentre {
+		for i := range f.size.workers {
 			f.pool.Add(workerEntry(fmt.Sprintf("worker-%s-%d", centre, i), centre, workerCPU, 0))
 		}
-		for i := range hostsPerCentre {
+		for i := range f.size.hosts {
 			f.start(centre, i)
 		}
 	}
@@ -150,7 +164,7 @@
 	}
 	var l *launcher.Launcher
 	l, h.intake = assembler.NewHostCore(assembler.HostConfig{
-		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: 160, MaxLease: 6 * time.Second, StopTime: 3 * time.Second,
+		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: f.size.cpu(number), MaxLease: 6 * time.Second, StopTime: 3 * time.Second,
 		FinalRetention: 120 * time.Second,
 		Store:          f.store.Client(h.caller), Workers: f.pool.Client(h.caller), Decoder: imitator.Decoder{},
 		Now: func() time.Duration { return time.Since(f.began) }, Logger: f.logger(h),
@@ -186,7 +200,7 @@
 		return
 	}
 	for _, centre := range f.centres {
-		for i := range workersPerCentre {
+		for i := range f.size.workers {
 			f.pool.Cut(h.caller, fmt.Sprintf("worker-%s-%d", centre, i), cut)
 		}
 	}
--- a/cmd/briarspring/host.go
+++ b/cmd/briarspring/host.go
@@ -34,6 +34,9 @@
 	// memoryLimitFraction is the fraction of the host's memory limit above which
 	// garbage is collected more often.
 	memoryLimitFraction = 0.6
+	// maxHeapBytes is the same for hosts with more memory than the design allows a
+	// node: 128 MB, less what connections and stacks take.
+	maxHeapBytes = 112 << 20
 	// exitReserve is the part of the stop grace period that is reserved for
 	// exiting the process.
 	exitReserve = 700 * time.Millisecond
@@ -50,7 +53,7 @@
 		return err
 	}
 	debug.SetGCPercent(hostGCPercent)
-	debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryLimitFraction))
+	debug.SetMemoryLimit(min(maxHeapBytes, int64(float64(settings.MemoryLimit)*memoryLimitFraction)))
 	logs := recorder.New(os.Stdout)
 	logger := hclog.New(&hclog.LoggerOptions{
 		Name: settings.Host, Level: hclog.LevelFromString(c.Level), Output: logs, JSONFormat: true,
--- a/dispatcher/burst_test.go
+++ b/dispatcher/burst_test.go
@@ -126,6 +126,45 @@
 	})
 }
 
+// usageRecorder records the best-effort tasks that it has to pace.
+type usageRecorder struct {
+	stubPacer
+	tasks []dispatcher.BestEffortTask
+}
+
+func (p *usageRecorder) Decide(_ time.Duration, _ string, _ []dispatcher.ServingTask, tasks []dispatcher.BestEffortTask) []dispatcher.Pace {
+	p.tasks = tasks
+	return nil
+}
+
+// A core of a worker with 64 cores disturbs its neighbours a quarter as much as
+// one of a worker with 16. Counted alike, pairs that interfere passed as harmless
+// on large workers.
+func TestReferenceCores(t *testing.T) {
+	for _, milliCPU := range []int64{16000, 64000} {
+		t.Run(fmt.Sprintf("count the share of a worker of %d millicores", milliCPU), func(t *testing.T) {
+			p := &usageRecorder{stubPacer: stubPacer{share: 100}}
+			s := newFixture(t, dispatcher.Config{Token: 1, Pacer: p}, 1)
+			w := s.workers["w0"]
+			w.entry.Capacity = resources(milliCPU, 250000)
+			s.d.SetWorkers(s.now, []briarspring.WorkerEntry{w.entry})
+			quarter := briarspring.Step{
+				Tasks: 1, Resources: resources(milliCPU/4, 1000), BestEffort: true, Image: "x", Estimate: time.Second,
+			}
+			s.d.Submit(s.now, 0, workflow("a", quarter), 5, nil, nil)
+			orders := s.planAndApply()
+			require.Equal(t, 1, countRuns(starts(orders)))
+			ref := orders[0].Start.Run
+			w.running[ref] = briarspring.RunningTask{Run: ref, Percent: 10, Usage: float64(milliCPU) / 8}
+			s.now += time.Second
+			s.renew("w0")
+			require.Len(t, p.tasks, 1)
+			assert.InDelta(t, 4, p.tasks[0].Cores, 1e-9)
+			assert.InDelta(t, 2, p.tasks[0].Used, 1e-9)
+		})
+	}
+}
+
 // BenchmarkBurst measures the pass that starts a burst of best-effort tasks.
 func BenchmarkBurst(b *testing.B) {
 	for _, workers := range []int{60, 220, 440} {
--- a/imitator/keyed.go
+++ b/imitator/keyed.go
@@ -19,6 +19,7 @@
 	faults   KeyedFaults
 	streams  map[string]*keyedStream
 	pageSize int // Maximum number of records in an answer of Newest.
+	calls    int
 }
 
 // KeyedFaults are the faults that can be injected into a KeyedStore while it
@@ -49,6 +50,13 @@
 	return &KeyedStore{random: rand.New(rand.NewPCG(seed, seed)), streams: map[string]*keyedStream{}, pageSize: defaultPageSize}
 }
 
+// Calls returns the number of calls so far, refused ones included.
+func (s *KeyedStore) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // SetPageSize sets the maximum number of records in an answer of Newest.
 // Several pages are not a consistent snapshot; small pages expose callers that
 // rely on one.
@@ -131,6 +139,7 @@
 // simulateFaults waits for the latency and fails as the injected faults require.
 func (c *KeyedClient) simulateFaults(ctx context.Context, call string) error {
 	c.store.mu.Lock()
+	c.store.calls++
 	f := c.store.faults
 	cut := f.CutCallers[c.caller]
 	c.store.mu.Unlock()
