pacer: remember measurements for ten seconds, however many there are

Cause: the models of interference forgot after 600 measurements, ten seconds of a data centre with 16 workers but one to two seconds of one with 120 to 220. Change: earlier measurements lose weight with time, not faster than with their number. TestLargeDataCentre fails without it.

--- a/pacer/estimate.go
+++ b/pacer/estimate.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"briarspring"
 )
@@ -15,10 +16,11 @@
 	// measurementStdDev is the standard deviation of a measured tail around the
 	// prediction, as a fraction of the target.
 	measurementStdDev = 0.35
-	// forgettingFactor multiplies the weight of all earlier measurements with
-	// each new one: the estimates rest on about 600 measurements, ten seconds of
-	// a data centre with 16 workers.
-	forgettingFactor = 0.9983
+	// memoryTime and memoryReadings set how long measurements count: interference
+	// drifts within seconds, but an estimate needs some hundred measurements. A
+	// data centre with 16 workers takes 600 in ten seconds, one with 220 in one.
+	memoryTime     = 10 * time.Second
+	memoryReadings = 600
 	// maxTail caps a measured tail in multiples of its target, so that single
 	// peaks don't outweigh hundreds of measurements.
 	maxTail = 3.0
@@ -36,6 +38,7 @@
 	index map[string]int // Position of an image in value and cov.
 	value []float64      // Coefficients: the constant, then the rise per core of each image.
 	cov   [][]float64    // Covariance of the coefficients.
+	at    time.Duration  // Time of the last measurement.
 }
 
 func newTailModel() *tailModel {
@@ -71,7 +74,7 @@
 
 // observe fits the model to a measured tail and the cores that each image used
 // on the worker.
-func (t *tailModel) observe(tail float64, cores map[string]float64) {
+func (t *tailModel) observe(now time.Duration, tail float64, cores map[string]float64) {
 	positions := make([]int, 1, len(cores)+1)
 	inputs := make([]float64, 1, len(cores)+1)
 	inputs[0] = 1
@@ -81,11 +84,20 @@
 			inputs = append(inputs, n)
 		}
 	}
-	t.update(min(tail, maxTail), positions, inputs)
+	t.update(min(tail, maxTail), positions, inputs, t.forget(now))
 }
 
-// update does one step of recursive least squares with sparse inputs.
-func (t *tailModel) update(y float64, positions []int, inputs []float64) {
+// forget returns the fraction of their weight that earlier measurements keep:
+// that of memoryTime or of memoryReadings, whichever remembers longer.
+func (t *tailModel) forget(now time.Duration) float64 {
+	passed := max(0, now-t.at)
+	t.at = max(t.at, now)
+	return math.Exp(-min(passed.Seconds()/memoryTime.Seconds(), 1.0/memoryReadings))
+}
+
+// update does one step of recursive least squares with sparse inputs. Earlier
+// measurements keep the fraction kept of their weight.
+func (t *tailModel) update(y float64, positions []int, inputs []float64, kept float64) {
 	n := len(t.value)
 	gain := make([]float64, n)
 	for i := range n {
@@ -104,7 +116,7 @@
 	}
 	for i := range n {
 		for j := range n {
-			t.cov[i][j] = (t.cov[i][j] - gain[i]*gain[j]/innovationVariance) / forgettingFactor
+			t.cov[i][j] = (t.cov[i][j] - gain[i]*gain[j]/innovationVariance) / kept
 		}
 	}
 	t.capVariances()
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -181,7 +181,7 @@
 	for _, s := range serving {
 		if s.Measured {
 			worst = max(worst, s.TailRatio)
-			p.learn(s, w.usage)
+			p.learn(now, s, w.usage)
 		}
 	}
 	w.adjustGain(now, worst)
@@ -236,7 +236,7 @@
 }
 
 // learn updates the model of a serving image with a measured tail.
-func (p *Pacer) learn(s dispatcher.ServingTask, usage map[string]float64) {
+func (p *Pacer) learn(now time.Duration, s dispatcher.ServingTask, usage map[string]float64) {
 	model := p.models[s.Image]
 	if model == nil {
 		model = newTailModel()
@@ -245,7 +245,7 @@
 	for image := range usage {
 		p.images[image] = true
 	}
-	model.observe(s.TailRatio, usage)
+	model.observe(now, s.TailRatio, usage)
 }
 
 // updateUsage updates the moving average of the cores in use by image.
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -151,3 +151,43 @@
 		assert.Zero(t, over)
 	})
 }
+
+// TestLargeDataCentre replays the readings of a data centre with 220 workers, of
+// which few run the interfering image at a time.
+func TestLargeDataCentre(t *testing.T) {
+	const (
+		workers     = 220
+		interfering = 4
+		interval    = 500 * time.Millisecond
+		trueRise    = 0.5
+		noise       = 0.35
+	)
+	random := rand.New(rand.NewPCG(3, 4))
+	p := pacer.New()
+	measure := func(now time.Duration) {
+		for i := range workers {
+			var tasks []dispatcher.BestEffortTask
+			used := 0.0
+			if i < interfering {
+				tasks = []dispatcher.BestEffortTask{bestEffort(i, "heavy", 50)}
+				used = tasks[0].Used
+			}
+			tail := 0.4 + trueRise*used + noise*random.NormFloat64()
+			p.Decide(now, fmt.Sprint(i), []dispatcher.ServingTask{{Image: "ledger", TailRatio: max(0, tail), Measured: true}}, tasks)
+		}
+	}
+	// Guards against a memory of some hundred readings, which that data centre
+	// takes in a second: estimates then rest on a dozen readings of the pair.
+	t.Run("keeps what it has learned for seconds", func(t *testing.T) {
+		now := time.Duration(0)
+		for range 20 {
+			now += interval
+			measure(now)
+		}
+		for range 20 {
+			now += interval
+			measure(now)
+			assert.InDelta(t, trueRise, p.RisePerCore("ledger", "heavy"), 0.15)
+		}
+	})
+}
