--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -68,7 +68,8 @@
 	config       Config
 	next         uint64
 	restored     bool
-	failures     int
+	failures     int          // In a row.
+	lastError    error        // Of the last failure.
 	lastReadAt   atomic.Int64 // When the last successful read was sent, by Now; -1 before the first.
 	responseTime atomic.Int64 // Shortest of the last reads.
 	readTimes    [responseTimeReads]time.Duration
@@ -180,7 +181,9 @@
 			continue
 		}
 		if t.failures > 0 {
-			t.config.Logger.Info("stream can be read again", "stream", t.config.Stream, "failures", t.failures, "offset", t.next)
+			age, _ := t.Age()
+			t.config.Logger.Info("stream can be read again", "stream", t.config.Stream, "failures", t.failures, "offset", t.next,
+				"read-age-ms", age.Milliseconds(), "last-error", t.lastError)
 			t.failures = 0
 		}
 		t.recordRead(started)
@@ -200,6 +203,7 @@
 
 func (t *Tracker) recordFailure(ctx context.Context, err error) {
 	t.failures++
+	t.lastError = err
 	if t.failures == 1 && ctx.Err() == nil {
 		t.config.Logger.Warn("stream can't be read", "stream", t.config.Stream, "offset", t.next, "error", err)
 	}
