dispatcher: say of a lost run whether its worker ever listed it, and of a worker its address

What callers saw: workers that crash one after the other under one task (docs/incidents/task-that-crashes-its-workers.md). Why: "run lost" did not tell a run that its worker never listed, so that the worker may have crashed at its start, from one that had worked for minutes; and no line showed that a new worker is an earlier one's next process. Change: "run lost" has listed and age-ms, "worker listed" has address.

--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -298,7 +298,7 @@
 	j := r.task.step.job
 	d.counters.Lost++
 	d.logger.Info("run lost", "workflow", j.workflow.ID, "step", r.task.step.number, "index", r.task.index,
-		"run", r.ref.Run, "worker", r.worker.id, "state", r.state.String(), "why", why)
+		"run", r.ref.Run, "worker", r.worker.id, "state", r.state.String(), "listed", r.listed, "age-ms", r.age(d.now).Milliseconds(), "why", why)
 	d.removeRun(r)
 	d.markDirty(j)
 	d.updatePhase(j)
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -123,7 +123,7 @@
 	w := d.worker(e.ID)
 	if !w.listed {
 		d.needsPlan = true
-		d.logger.Info("worker listed", "worker", e.ID, "capacity", e.Capacity.String(), "rack", e.Rack, "draining", e.Draining)
+		d.logger.Info("worker listed", "worker", e.ID, "address", e.Address, "capacity", e.Capacity.String(), "rack", e.Rack, "draining", e.Draining)
 	} else if e.Draining != w.entry.Draining {
 		d.needsPlan = true
 		d.logger.Info("worker's state changed", "worker", e.ID, "draining", e.Draining, "remaining-ms", e.Remaining.Milliseconds())
