dispatcher: give up a task that crashes its workers, and remember the suspicion

Cause: attempts count runs that a worker reports as failed. A crashed worker reports nothing: its runs were "lost", which was never counted and started them again at once, with copies beside them while the lease of the crashed worker ran. Class: a retry without a bound for the failures that nobody reports. Change: the loss of a worker is evidence against the runs most likely to have caused it: those that it took and had not listed half a second after their start, else those whose start was not answered, else all but long-running tasks at work. Three workers lost right after the start, or at most five in any case, give the task up, of every kind. A worker that answers again without a restart was only silent, and the evidence is withdrawn. A suspected task starts where the fewest others are suspected, without copies; before the last loss that it may cause it gets a worker on which everything has settled. The suspicion is part of the stored progress, travels with transfers, and a suspect's start is stored before it is sent, so that later owners know of it. Three and not two losses: sound best-effort work was found beside two crashes.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -38,7 +38,8 @@
 
 	mu         sync.Mutex
 	workflows  map[briarspring.WorkflowID]*briarspring.Workflow
-	failing    map[briarspring.TaskRef]int // Number of runs that fail before one succeeds.
+	failing    map[briarspring.TaskRef]int     // Number of runs that fail before one succeeds.
+	crashing   map[briarspring.WorkflowID]bool // Their first task crashes each worker that starts it.
 	hosts      map[string]*testHost
 	hostStarts int
 	goroutines sync.WaitGroup
@@ -106,9 +107,10 @@
 	f := &fleet{
 		t: t, store: imitator.NewKeyedStore(seed), centres: centres, size: size, stop: cancel, began: time.Now(),
 		workflows: map[briarspring.WorkflowID]*briarspring.Workflow{}, failing: map[briarspring.TaskRef]int{},
-		hosts: map[string]*testHost{},
+		crashing: map[briarspring.WorkflowID]bool{},
+		hosts:    map[string]*testHost{},
 	}
-	f.pool = imitator.NewPool(imitator.PoolConfig{Seed: seed, Latency: time.Millisecond, SimulateRun: f.runOutcome, Spec: f.spec})
+	f.pool = imitator.NewPool(imitator.PoolConfig{Seed: seed, Latency: time.Millisecond, SimulateRun: f.runOutcome, Spec: f.spec, CrashesWorker: f.crashesWorker})
 	f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
 	f.store.Put(briarspring.DirectoryStream, directoryRecord(t, 1))
 	for _, centre := range centres {
@@ -141,6 +143,12 @@
 	return w.Steps[r.Task.Step].Estimate, briarspring.RunDone
 }
 
+func (f *fleet) crashesWorker(t briarspring.TaskRef) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashing[t.Workflow] && t.Step == 0 && t.Index == 0
+}
+
 func (f *fleet) spec(t briarspring.TaskRef) (*briarspring.Workflow, *briarspring.Step) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -90,8 +90,9 @@
 		h.out = h.centres[h.random.IntN(len(h.centres))]
 		h.store.Put(briarspring.DirectoryStream, imitator.OutOfServiceRecord(h.out, true))
 	},
-	"back":  func(h *history) { h.returnToService() },
-	"power": func(h *history) { h.failPower() },
+	"submit-crashing": func(h *history) { h.submitCrashing() },
+	"back":            func(h *history) { h.returnToService() },
+	"power":           func(h *history) { h.failPower() },
 	"cancel": func(h *history) {
 		if len(h.accepted) == 0 {
 			return
@@ -226,6 +227,30 @@
 	}
 }
 
+// submitCrashing submits a workflow whose first task crashes its workers.
+func (h *history) submitCrashing() {
+	id := briarspring.WorkflowID(fmt.Sprintf("%015xc", len(h.workflows)+1))
+	s := shortStep(1 + h.random.IntN(3))
+	switch h.random.IntN(5) {
+	case 0:
+		s = longRunningStep(1 + h.random.IntN(3))
+	case 1:
+		s.BestEffort = true
+	case 2:
+		s.Gang = true
+	case 3:
+		s.Speculative = true
+	}
+	h.mu.Lock()
+	h.crashing[id] = true
+	h.mu.Unlock()
+	ok := h.submitRecurring(id, briarspring.Recurrence{}, s)
+	h.logf("submit %s accepted %t, crashes workers", id, ok)
+	if ok {
+		h.accepted = append(h.accepted, id)
+	}
+}
+
 func (h *history) submitRandom() {
 	id := briarspring.WorkflowID(fmt.Sprintf("%015x%x", len(h.workflows)+1, h.random.IntN(16)))
 	var steps []briarspring.Step
@@ -281,6 +306,18 @@
 	}
 }
 
+// TestCrashingHistories does the same with workflows that crash workers. The
+// others must not suffer for it.
+func TestCrashingHistories(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*histories/3; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runHistory(t, uint64(seed), rand.New(rand.NewPCG(uint64(seed), 9)), "submit-crashing", "submit-crashing")
+			})
+		})
+	}
+}
+
 // regressions maps seeds that once failed to the cause. They predate gangs and
 // recurrences, so they run without both.
 var regressions = map[uint64]string{
@@ -300,7 +337,7 @@
 // others append to it.
 const smallPageSize = 3
 
-func runHistory(t *testing.T, seed uint64, kinds *rand.Rand) {
+func runHistory(t *testing.T, seed uint64, kinds *rand.Rand, more ...string) {
 	h := &history{
 		fleet: newFleet(t, seed, tartu, viljandi), random: rand.New(rand.NewPCG(seed, 7)), kinds: kinds,
 		cancelled: map[briarspring.WorkflowID]bool{}, multiHost: map[briarspring.WorkflowID]bool{}, down: map[string]bool{},
@@ -309,7 +346,7 @@
 	names := actionNames
 	if kinds != nil {
 		h.store.SetPageSize(smallPageSize)
-		names = allActionNames
+		names = slices.Concat(allActionNames, more)
 	}
 	for range 12 + h.random.IntN(18) {
 		name := names[h.random.IntN(len(names))]
@@ -335,6 +372,8 @@
 	switch {
 	case h.cancelled[id]:
 		assert.True(h.t, phase.Final() || h.workflows[id].Steps[0].LongRunning || phase != briarspring.PhaseQueued, "%s was cancelled and is %s", id, phase)
+	case h.crashing[id]:
+		assert.Equal(h.t, briarspring.PhaseFailed, phase, "phase of %s, which crashed %d workers", id, h.pool.Crashes(briarspring.TaskRef{Workflow: id}))
 	case h.workflows[id].Steps[0].LongRunning:
 		assertRunning(h.t, h.fleet, id, time.Second)
 	default:
--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -102,6 +102,6 @@
 func countersOf(c dispatcher.Counters) map[string]uint64 {
 	return map[string]uint64{
 		"starts": c.Starts, "done": c.Done, "failed": c.Failed, "lost": c.Lost, "stops": c.Stops,
-		"paces": c.Paces, "doubts": c.Doubts, "completed": c.Completed,
+		"paces": c.Paces, "suspects": c.Suspects, "doubts": c.Doubts, "completed": c.Completed,
 	}
 }
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -12,6 +12,7 @@
 type Batch struct {
 	Progress []briarspring.KeyedRecord // For the data centre's progress stream.
 	ends     []endMark
+	starts   []*run // Starts to send once the batch is stored.
 	dropped  []briarspring.WorkflowID
 }
 
@@ -45,6 +46,7 @@
 		j.hasProgressRecord = true
 		b.Progress = append(b.Progress, briarspring.KeyedRecord{Key: string(id), Value: value})
 	}
+	b.starts, d.unsentStarts = d.unsentStarts, nil
 	for id, j := range d.jobs {
 		if !j.removable() {
 			continue
@@ -59,7 +61,7 @@
 			b.ends = append(b.ends, endMark{worker: w, incarnation: w.incarnation, number: w.lastEndSeen})
 		}
 	}
-	return b, len(b.Progress)+len(b.ends)+len(b.dropped) > 0
+	return b, len(b.Progress)+len(b.ends)+len(b.starts)+len(b.dropped) > 0
 }
 
 // removable reports whether the job is cancelled, finished or transferred and
@@ -76,7 +78,7 @@
 			continue
 		}
 		p := briarspring.TaskProgress{
-			Position: t.position, Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Run: t.lastRun, Checkpoint: t.checkpoint,
+			Position: t.position, Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Suspicion: t.suspicion, Run: t.lastRun, Checkpoint: t.checkpoint,
 		}
 		if t.done {
 			p.Checkpoint = ""
@@ -97,6 +99,16 @@
 			m.worker.lastEndStored = max(m.worker.lastEndStored, m.number)
 		}
 	}
+	for _, r := range b.starts {
+		switch {
+		case r.worker.runs[r.ref] != r:
+			// Lost with its worker.
+		case r.stopping:
+			d.removeRun(r)
+		default:
+			d.sendStart(r)
+		}
+	}
 	for _, id := range b.dropped {
 		j := d.jobs[id]
 		switch {
--- /dev/null
+++ b/dispatcher/crash.go
@@ -0,0 +1,161 @@
+package dispatcher
+
+import "time"
+
+// A worker that is lost may have crashed under one of its runs. Each loss adds to
+// the suspicion against the tasks that are most likely to have caused it.
+const (
+	// strongEvidence counts against a task that the worker had just started.
+	strongEvidence = 3
+	// weakEvidence counts against a task whose start was not answered, so that it
+	// may not have arrived, or against all others if nothing had just started.
+	weakEvidence = 2
+	// maxSuspicion is the suspicion from which a task is given up: three workers lost
+	// right after they had started it, or at most five in any case. The platform
+	// allows two starts more after three crashes.
+	maxSuspicion = 9
+	// settleTime is how long after its start a run must be listed to show that the
+	// start has not crashed the worker: a reply may list a run that is about to do
+	// so. Starts crash a worker at once.
+	settleTime = 500 * time.Millisecond
+)
+
+// suspect is a task under which a worker was lost, with the evidence against it.
+type suspect struct {
+	task     *task
+	evidence int
+}
+
+// evidence returns how strongly the loss of its worker speaks against a run, and a
+// rank: only the runs of the highest rank on a worker are suspected.
+func (r *run) evidence() (evidence, rank int) {
+	switch {
+	case r.task.step.spec().LongRunning && r.settled && r.progress == atWork:
+		return 0, 0
+	case r.settled:
+		return weakEvidence, 1
+	case r.state != runAlive:
+		return weakEvidence, 2
+	default:
+		return strongEvidence, 3
+	}
+}
+
+// suspectRuns counts the loss of a worker against the tasks that are most likely
+// to have caused it, and returns them. Its other runs are lost as well.
+func (d *Dispatcher) suspectRuns(w *worker) []suspect {
+	highest := 0
+	for _, r := range w.runs {
+		_, rank := r.evidence()
+		highest = max(highest, rank)
+	}
+	var suspects []suspect
+	for _, r := range w.runs {
+		if evidence, rank := r.evidence(); rank == highest && evidence > 0 {
+			d.suspect(r, evidence)
+			suspects = append(suspects, suspect{task: r.task, evidence: evidence})
+		}
+	}
+	return suspects
+}
+
+// suspect adds to the suspicion against the task of a run that was lost with its
+// worker.
+func (d *Dispatcher) suspect(r *run, evidence int) {
+	t := r.task
+	t.suspicion += evidence
+	d.counters.Suspects++
+	d.markDirty(t.step.job)
+	d.logger.Warn("worker lost under a task", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
+		"run", r.ref.Run, "worker", r.worker.id, "settled", r.settled, "state", r.state.String(), "suspicion", t.suspicion, "given-up", t.crashing())
+}
+
+// clearSuspects withdraws the suspicion against the tasks under which a worker was
+// lost: it answers again and has not restarted.
+func (d *Dispatcher) clearSuspects(w *worker) {
+	for _, s := range w.suspects {
+		t := s.task
+		t.suspicion = max(0, t.suspicion-s.evidence)
+		d.markDirty(t.step.job)
+		d.logger.Info("worker was only silent under a task", "workflow", t.step.job.workflow.ID, "step", t.step.number, "index", t.index,
+			"worker", w.id, "suspicion", t.suspicion)
+	}
+	w.suspects = nil
+}
+
+// crashing reports whether the task is given up because of the workers lost under
+// it.
+func (t *task) crashing() bool { return t.suspicion >= maxSuspicion }
+
+// isolated reports whether the task is given up if a worker is lost right after
+// its next start.
+func (t *task) isolated() bool { return !t.crashing() && t.suspicion+strongEvidence >= maxSuspicion }
+
+// settle records that a worker lists a run long enough after its start. A
+// long-running task that is at work then is no suspect any more.
+func (d *Dispatcher) settle(r *run) {
+	if !r.settled && d.now-r.since >= settleTime {
+		r.settled = true
+		if r.worker.isolatedRun == r {
+			r.worker.isolatedRun = nil
+			d.needsPlan = true
+		}
+	}
+	if evidence, _ := r.evidence(); evidence == 0 && r.task.suspicion > 0 {
+		r.task.suspicion = 0
+		d.markDirty(r.task.step.job)
+	}
+}
+
+// startSuspects starts the suspected tasks of a step, before all others and each
+// where it is with the fewest others that may crash the worker, so that the next
+// loss tells them apart. An isolated task gets a worker on which all runs have
+// settled, and nothing else starts there until it has settled as well.
+func (d *Dispatcher) startSuspects(s *step) {
+	for _, t := range s.tasks {
+		if t.suspicion == 0 || !t.pending() || d.exhausted(t) || d.startsLeft <= 0 {
+			continue
+		}
+		w := d.quietestWorker(t)
+		switch {
+		case w != nil && s.spec().BestEffort:
+			d.startAt(t, w, d.speedFraction(w, s.spec().Image, s.spec().Resources.MilliCPU()))
+		case w != nil:
+			d.start(t, w)
+		case !s.spec().BestEffort:
+			d.preemptFor(t)
+		}
+	}
+}
+
+// quietestWorker returns the worker for a suspected task, or nil if it fits on
+// none: the one with the fewest runs that have not settled, and of these the one
+// with the fewest runs.
+func (d *Dispatcher) quietestWorker(t *task) *worker {
+	var best *worker
+	var fewest int
+	for _, w := range d.workersByID {
+		if !d.fits(t.step, w) {
+			continue
+		}
+		unsettled := w.unsettled()
+		if t.isolated() && unsettled > 0 {
+			continue
+		}
+		if best == nil || unsettled < fewest || unsettled == fewest && len(w.runs) < len(best.runs) {
+			best, fewest = w, unsettled
+		}
+	}
+	return best
+}
+
+// unsettled returns the number of runs of the worker that have not settled.
+func (w *worker) unsettled() int {
+	n := 0
+	for _, r := range w.runs {
+		if !r.settled {
+			n++
+		}
+	}
+	return n
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -95,6 +95,7 @@
 	unmet            unmet // Needs without a worker in the present pass.
 	optionBuffer     optionHeap
 	orders           []Order
+	unsentStarts     []*run                          // Starts that are sent once they are stored.
 	dirty            map[briarspring.WorkflowID]*job // Jobs whose progress records have to be stored.
 	needsPlan        bool                            // Something changed since the last plan.
 	ratios           runTimeRatios
@@ -111,6 +112,7 @@
 	Done      uint64
 	Failed    uint64
 	Lost      uint64
+	Suspects  uint64 // Tasks that may have crashed a worker, once for each worker.
 	Stops     uint64
 	Paces     uint64
 	Doubts    uint64 // Starts that got no answer.
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -75,6 +75,8 @@
 	}
 	if w.incarnation != reply.StartedAt {
 		d.resetIncarnation(w, reply)
+	} else {
+		d.clearSuspects(w)
 	}
 	w.renewalFailed = false
 	if !w.fenced {
@@ -118,8 +120,10 @@
 func (d *Dispatcher) resetIncarnation(w *worker, reply briarspring.LeaseReply) {
 	first := w.incarnation == 0
 	if !first {
+		d.suspectRuns(w)
 		d.logger.Warn("worker restarted", "worker", w.id, "born", reply.StartedAt, "before", w.incarnation, "runs", len(w.runs))
 	}
+	w.suspects = nil
 	w.incarnation = reply.StartedAt
 	w.lastEndSeen = 0
 	w.lastEndStored = 0
@@ -225,6 +229,7 @@
 		r.progress = listed.Percent
 		r.progressAt = d.now
 	}
+	d.settle(r)
 	r.usage = listed.Usage
 	r.usageAt = d.now
 	if r.task.done || r.task.step.job.inactive() {
@@ -277,6 +282,10 @@
 		}
 		switch {
 		case r.state == runUnknown:
+			if w.clock < d.config.MaxLease {
+				// The worker has restarted since its last renewal by the earlier owner.
+				d.suspect(r, weakEvidence)
+			}
 			d.markLost(r, "not listed by the recorded worker")
 		case r.state == runAlive && r.startAnsweredAt < sent:
 			d.markLost(r, "missing from the worker's list")
@@ -336,6 +345,7 @@
 			continue
 		}
 		d.logger.Warn("worker's lease ended", "worker", w.id, "silent-ms", (d.now - w.answeredAt).Milliseconds(), "runs", len(w.runs), "fenced", w.fenced)
+		w.suspects = append(w.suspects, d.suspectRuns(w)...)
 		for _, r := range w.runs {
 			d.markLost(r, "the worker's lease ended")
 		}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -47,6 +47,7 @@
 	transferring bool // Another transfer is on its way.
 	done         bool
 	failedRuns   []uint32
+	suspicion    int // That it crashes its workers; see crash.go.
 	lastRun      uint32
 	checkpoint   string
 	runs         []*run
@@ -222,6 +223,7 @@
 	j.hasProgressRecord = true
 	t := j.tasks[p.Position]
 	t.failedRuns = slices.Clone(p.FailedRuns)
+	t.suspicion = p.Suspicion
 	t.lastRun = p.Run
 	t.checkpoint = p.Checkpoint
 	if p.Done {
@@ -326,7 +328,7 @@
 		left += s.unfinished
 	}
 	for _, t := range j.tasks {
-		if !t.done && !t.step.spec().LongRunning && j.workflow.MaxAttempts > 0 && t.failures() >= j.workflow.MaxAttempts && len(t.runs) == 0 {
+		if !t.done && len(t.runs) == 0 && d.exhausted(t) {
 			phase = briarspring.PhaseFailed
 		}
 		if phase == briarspring.PhaseQueued && (t.done || len(t.runs) > 0 || t.lastRun > 0) {
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -85,8 +85,7 @@
 func (d *Dispatcher) startRun(t *task, w *worker, number uint32) *run {
 	r := &run{
 		ref:  briarspring.RunRef{Task: t.ref(), Run: number},
-		task: t, worker: w, state: runOrdered, since: d.now,
-		startBy: w.clockNow(d.now) + startWindow, pace: fullSpeed, paceSent: fullSpeed,
+		task: t, worker: w, state: runOrdered, since: d.now, pace: fullSpeed, paceSent: fullSpeed,
 	}
 	if w.failureStreak >= quarantineFailures {
 		w.probe = r
@@ -95,17 +94,33 @@
 	d.addRun(r)
 	d.counters.Starts++
 	d.startsLeft--
-	w.leaseUntil = max(w.leaseUntil, r.startBy)
 	j := t.step.job
 	d.markDirty(j)
 	d.updatePhase(j)
 	d.logger.Info("start", "workflow", j.workflow.ID, "step", t.step.number, "index", t.index, "run", r.ref.Run,
-		"worker", w.id, "waited-ms", waited.Milliseconds(), "free", w.free().String(), "checkpoint", t.checkpoint != "")
+		"worker", w.id, "waited-ms", waited.Milliseconds(), "free", w.free().String(), "checkpoint", t.checkpoint != "", "suspicion", t.suspicion)
+	if t.isolated() {
+		w.isolatedRun = r
+	}
+	if t.suspicion > 0 {
+		// Sent once it is stored, so that a new owner knows of it.
+		d.unsentStarts = append(d.unsentStarts, r)
+		return r
+	}
+	d.sendStart(r)
+	return r
+}
+
+// sendStart sends the order to start a run.
+func (d *Dispatcher) sendStart(r *run) {
+	t, w := r.task, r.worker
+	r.since = d.now
+	r.startBy = w.clockNow(d.now) + startWindow
+	w.leaseUntil = max(w.leaseUntil, r.startBy)
 	d.orders = append(d.orders, Order{
 		Kind: OrderStart, Worker: w.id, Address: w.entry.Address,
 		Start: briarspring.StartOrder{
-			Run: r.ref, Specification: j.workflow.Specification, Until: r.startBy, Token: d.config.Token, Checkpoint: t.checkpoint,
+			Run: r.ref, Specification: t.step.job.workflow.Specification, Until: r.startBy, Token: d.config.Token, Checkpoint: t.checkpoint,
 		},
 	})
-	return r
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -135,6 +135,9 @@
 
 // assignStep starts the waiting tasks of a step.
 func (d *Dispatcher) assignStep(s *step) {
+	if !s.spec().Gang {
+		d.startSuspects(s)
+	}
 	switch {
 	case d.startsLeft <= 0:
 	case s.spec().Gang:
@@ -251,7 +254,7 @@
 	})
 	defer options.release(d)
 	for _, t := range s.tasks {
-		if !t.pending() || d.exhausted(t) {
+		if !t.pending() || d.exhausted(t) || t.suspicion > 0 {
 			continue
 		}
 		if d.startsLeft <= 0 {
@@ -267,10 +270,11 @@
 	}
 }
 
-// exhausted reports whether the task has failed too often to start again.
+// exhausted reports whether the task has failed or crashed its worker too often
+// to start again.
 func (d *Dispatcher) exhausted(t *task) bool {
 	most := t.step.job.workflow.MaxAttempts
-	return !t.step.spec().LongRunning && most > 0 && t.failures() >= most
+	return t.crashing() || !t.step.spec().LongRunning && most > 0 && t.failures() >= most
 }
 
 // fits reports whether a task of a step may run on a worker and has room there.
@@ -291,6 +295,9 @@
 	if s.rack != "" && s.rack != w.entry.Rack {
 		return false
 	}
+	if spec.Gang && slices.ContainsFunc(s.tasks, (*task).isolated) && w.unsettled() > 0 {
+		return false
+	}
 	return spec.MaxPerWorker <= 0 || s.spread[w] < spec.MaxPerWorker
 }
 
--- a/dispatcher/straggler.go
+++ b/dispatcher/straggler.go
@@ -48,7 +48,7 @@
 	}
 	limit := time.Duration(copyFactor*float64(d.expectedRunTime(s))) + copyDelay
 	for _, t := range s.tasks {
-		if t.done || !t.local || t.transferring || len(t.runs) == 0 || len(t.runs) >= maxCopies || d.exhausted(t) {
+		if t.done || !t.local || t.transferring || len(t.runs) == 0 || len(t.runs) >= maxCopies || t.suspicion > 0 || d.exhausted(t) {
 			continue
 		}
 		first := t.runs[0]
--- a/dispatcher/trust.go
+++ b/dispatcher/trust.go
@@ -27,7 +27,9 @@
 }
 
 // acceptsStarts reports whether the worker may get starts at present.
-func (w *worker) acceptsStarts(now time.Duration) bool { return w.usable(now) && w.admitted(now) }
+func (w *worker) acceptsStarts(now time.Duration) bool {
+	return w.usable(now) && w.admitted(now) && w.isolatedRun == nil
+}
 
 // countWorkerFailure counts consecutive failures and quarantines the worker
 // after quarantineFailures of them.
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -52,7 +52,9 @@
 	bestEffortCPU  int64    // Declared millicores of best-effort tasks, scaled by their pace.
 	longRunningCPU int64    // Declared millicores of long-running tasks.
 
-	failureStreak    int // Failed runs since the last successful one.
+	suspects         []suspect // Tasks under which it was lost since its last answer.
+	isolatedRun      *run      // Run of an isolated task, until it has settled.
+	failureStreak    int       // Failed runs since the last successful one.
 	quarantinedUntil time.Duration
 	probe            *run
 	pausedUntil      time.Duration
@@ -193,6 +195,7 @@
 	startAnsweredAt time.Duration // When the start was answered, or counted as unanswered.
 	startBy         time.Duration // Deadline for carrying out the start, by the worker's clock.
 	listed          bool          // Was in a list of running tasks.
+	settled         bool          // Was in such a list settleTime after its start.
 	stopping        bool
 	stopSentAt      time.Duration // When the last stop was sent.
 	stopAnsweredAt  time.Duration // When a stop was answered; zero for never.
@@ -253,6 +256,9 @@
 	if w.probe == r {
 		w.probe = nil
 	}
+	if w.isolatedRun == r {
+		w.isolatedRun = nil
+	}
 	r.task.detachRun(d.now, r)
 	d.needsPlan = true
 }
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -251,7 +251,7 @@
 	for _, t := range tasks {
 		list = append(list, &pb.TaskProgress{
 			Position: int32(t.Position), Done: t.Done, FailedRuns: t.FailedRuns, Run: t.Run,
-			Checkpoint: t.Checkpoint, Worker: t.Worker,
+			Checkpoint: t.Checkpoint, Worker: t.Worker, Suspicion: uint32(t.Suspicion),
 		})
 	}
 	return list
@@ -265,7 +265,7 @@
 		}
 		tasks = append(tasks, briarspring.TaskProgress{
 			Position: int(t.Position), Done: t.Done, FailedRuns: t.FailedRuns, Run: t.Run,
-			Checkpoint: t.Checkpoint, Worker: t.Worker,
+			Checkpoint: t.Checkpoint, Worker: t.Worker, Suspicion: int(t.Suspicion),
 		})
 	}
 	return tasks, nil
--- a/imitator/check.go
+++ b/imitator/check.go
@@ -33,6 +33,7 @@
 	p.checkDuplicates(s)
 	p.checkCapacity(s)
 	p.checkDependencies(s)
+	p.checkCrashes(s)
 	if !s.step.LongRunning && s.workflow.MaxAttempts > 0 && p.failures[run.Task] >= s.workflow.MaxAttempts {
 		p.recordViolation(s, "it has failed %d times", p.failures[run.Task])
 	}
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -23,6 +23,9 @@
 	// Spec returns the workflow and step of a task, to check invariants. The step is
 	// nil for a task that was never submitted.
 	Spec func(briarspring.TaskRef) (*briarspring.Workflow, *briarspring.Step)
+	// CrashesWorker reports whether a task crashes each worker that starts it. If it
+	// is nil, none does.
+	CrashesWorker func(briarspring.TaskRef) bool
 	// Interference returns by how much one core of a best-effort image raises
 	// the tail latency of a serving image, as a fraction of the latter's
 	// target. If it is nil, no usage is reported.
@@ -42,6 +45,7 @@
 	violations     []string
 	acknowledgedAt map[briarspring.TaskRef]time.Time // When a successful end was acknowledged.
 	failures       map[briarspring.TaskRef]int
+	crashes        map[briarspring.TaskRef]crashCount
 	finished       map[briarspring.TaskRef]bool // Tasks with a run that ended as RunDone.
 	started        map[briarspring.WorkflowID]bool
 	counts         PoolCounts
@@ -75,6 +79,7 @@
 	return &Pool{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, c.Seed+1)), workers: map[string]*poolWorker{},
 		cut: map[[2]string]bool{}, acknowledgedAt: map[briarspring.TaskRef]time.Time{}, failures: map[briarspring.TaskRef]int{},
+		crashes:  map[briarspring.TaskRef]crashCount{},
 		finished: map[briarspring.TaskRef]bool{}, started: map[briarspring.WorkflowID]bool{},
 	}
 }
@@ -105,7 +110,10 @@
 func (p *Pool) Crash(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w := p.workers[id]
+	p.crash(p.workers[id])
+}
+
+func (p *Pool) crash(w *poolWorker) {
 	crashedRuns := w.runs
 	w.up = false
 	w.incarnation++
@@ -436,6 +444,7 @@
 		}
 	}
 	p.beginWork(w, o.Run, r)
+	p.crashAfterStart(w, o.Run)
 	return nil
 }
 
--- a/stream.go
+++ b/stream.go
@@ -71,6 +71,7 @@
 	Position   int // Index of the task across all steps.
 	Done       bool
 	FailedRuns []uint32 // Without duplicates, even if the end of a run was reported repeatedly.
+	Suspicion  int      // That the task crashes its workers; zero for none.
 	Run        uint32   // Highest run number used so far.
 	Checkpoint string
 	Worker     string // Worker of the live run; empty if there is none.
