dispatcher: a worker over its capacity has no free processors, not less

What callers could see: work sent to other data centres although there was room. Cause: the capacity of a worker may shrink below what runs there. Its free processors were negative then, and the owner's heartbeat took them off those of the other workers. Shown: TestChangingCapacity/below_what_runs failed before (-2000 free millicores).

--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		b.Total += w.entry.Capacity.MilliCPU()
-		b.Free += w.free().MilliCPU()
+		b.Free += max(0, w.free().MilliCPU())
 		b.Largest = max(b.Largest, w.free().MilliCPU())
 		d.addIdle(b.IdleByImage, w, waiting)
 	}
--- a/dispatcher/worker_test.go
+++ b/dispatcher/worker_test.go
@@ -75,3 +75,45 @@
 		assert.Empty(t, starts(s.advance(3*time.Second)))
 	})
 }
+
+// setCapacity changes what every worker offers.
+func (s *fixture) setCapacity(milliCPU, memoryMiB int64) {
+	var entries []briarspring.WorkerEntry
+	for _, w := range s.workers {
+		w.entry.Capacity = briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: milliCPU, MemoryMiB: memoryMiB})
+		entries = append(entries, w.entry)
+	}
+	s.d.SetWorkers(s.now, entries)
+}
+
+// Guards against starts beyond a capacity that has shrunk below what runs.
+func TestChangingCapacity(t *testing.T) {
+	t.Run("that shrinks under runs stops starts until they fit again", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("service", longRunning(3, 2000)), 5, nil, nil)
+		assert.Equal(t, 3, countRuns(starts(s.advance(time.Second))))
+		s.setCapacity(4000, 32000)
+		s.d.Submit(s.now, 0, workflow("a", step(1, 500)), 6, nil, nil)
+		assert.Empty(t, s.advance(3*time.Second), "nothing starts, and nothing is stopped")
+		s.setCapacity(7000, 32000)
+		assert.Equal(t, 1, countRuns(starts(s.advance(time.Second))))
+	})
+	t.Run("that lacks memory takes no best-effort tasks", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("service", longRunning(3, 2000)), 5, nil, nil)
+		s.advance(time.Second)
+		s.setCapacity(8000, 2500)
+		bestEffort := step(1, 500)
+		bestEffort.BestEffort, bestEffort.Image = true, "x"
+		s.d.Submit(s.now, 0, workflow("a", bestEffort), 6, nil, nil)
+		assert.Empty(t, starts(s.advance(3*time.Second)))
+	})
+	// Guards against a worker over its capacity that hides the free processors of the others.
+	t.Run("below what runs counts as no free capacity, not less", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("service", longRunning(3, 2000)), 5, nil, nil)
+		s.advance(time.Second)
+		s.setCapacity(4000, 32000)
+		assert.Zero(t, s.d.Load().Free)
+	})
+}
