dispatcher: check again before a stored start is sent; suspects keep to racks and idle processors

Change: the worker and the data centre are checked again when the start is stored; a suspect goes to the rack with its data and, for best-effort work, to idle processors as others do; a worker that drains has not crashed. Shown: the test of a worker that drains before the start is stored failed without the check.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -100,14 +100,7 @@
 		}
 	}
 	for _, r := range b.starts {
-		switch {
-		case r.worker.runs[r.ref] != r:
-			// Lost with its worker.
-		case r.stopping:
-			d.removeRun(r)
-		default:
-			d.sendStart(r)
-		}
+		d.sendStored(r)
 	}
 	for _, id := range b.dropped {
 		j := d.jobs[id]
@@ -122,6 +115,20 @@
 	}
 }
 
+// sendStored sends a start that has been stored, unless it is not wanted or its
+// worker takes no starts any more: the log may have been slow.
+func (d *Dispatcher) sendStored(r *run) {
+	switch {
+	case r.worker.runs[r.ref] != r:
+		// Lost with its worker.
+	case r.stopping || d.outOfService || !r.worker.usable(d.now):
+		d.removeRun(r)
+		d.markDirty(r.task.step.job)
+	default:
+		d.sendStart(r)
+	}
+}
+
 // TakePhases returns the records of the phases that changed, for the shared
 // stream.
 func (d *Dispatcher) TakePhases() []briarspring.KeyedRecord {
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A worker that is lost may have crashed under one of its runs. Each loss adds to
 // the suspicion against the tasks that are most likely to have caused it.
@@ -42,8 +45,12 @@
 }
 
 // suspectRuns counts the loss of a worker against the tasks that are most likely
-// to have caused it, and returns them. Its other runs are lost as well.
+// to have caused it, and returns them. Its other runs are lost as well. A worker
+// that had announced that it leaves has not crashed.
 func (d *Dispatcher) suspectRuns(w *worker) []suspect {
+	if w.entry.Draining {
+		return nil
+	}
 	highest := 0
 	for _, r := range w.runs {
 		_, rank := r.evidence()
@@ -128,27 +135,37 @@
 	}
 }
 
-// quietestWorker returns the worker for a suspected task, or nil if it fits on
-// none: the one with the fewest runs that have not settled, and of these the one
-// with the fewest runs.
+// quietestWorker returns the worker for a suspected task, or nil if there is none:
+// on the rack with its data if possible, the one with the fewest runs that have not
+// settled, and of these the one with the fewest runs.
 func (d *Dispatcher) quietestWorker(t *task) *worker {
 	var best *worker
-	var fewest int
+	var lowest [3]int
 	for _, w := range d.workersByID {
-		if !d.fits(t.step, w) {
-			continue
-		}
 		unsettled := w.unsettled()
-		if t.isolated() && unsettled > 0 {
+		if t.isolated() && unsettled > 0 || !d.takes(w, t) {
 			continue
 		}
-		if best == nil || unsettled < fewest || unsettled == fewest && len(w.runs) < len(best.runs) {
-			best, fewest = w, unsettled
+		cost := [3]int{0, unsettled, len(w.runs)}
+		if rack := t.step.spec().Rack; rack != "" && rack != w.entry.Rack {
+			cost[0] = 1
+		}
+		if best == nil || slices.Compare(cost[:], lowest[:]) < 0 {
+			best, lowest = w, cost
 		}
 	}
 	return best
 }
 
+// takes reports whether a suspected task may start on a worker at present.
+func (d *Dispatcher) takes(w *worker, t *task) bool {
+	if !t.step.spec().BestEffort || d.starving(t) {
+		return d.fits(t.step, w)
+	}
+	_, _, ok := d.rateBestEffort(t.step, w)
+	return ok
+}
+
 // unsettled returns the number of runs of the worker that have not settled.
 func (w *worker) unsettled() int {
 	n := 0
--- a/dispatcher/crash_test.go
+++ b/dispatcher/crash_test.go
@@ -285,6 +285,17 @@
 		assert.Equal(t, 1, s.crashes[briarspring.TaskRef{Workflow: "deadly"}])
 		assert.Empty(t, s.d.Runs(""))
 	})
+	t.Run("is not started on a worker that drains before the start is stored", func(t *testing.T) {
+		s := newCrashFixture(t, 2, workflow("deadly", step(1, 1000)))
+		s.play(restartTime + 200*time.Millisecond)
+		require.Len(t, s.d.Runs("deadly"), 1, "its second start is not stored yet")
+		for _, w := range s.workers {
+			w.entry.Draining, w.entry.Remaining = true, time.Minute
+		}
+		s.play(10 * time.Second)
+		assert.Equal(t, 1, s.crashes[briarspring.TaskRef{Workflow: "deadly"}])
+		assert.Empty(t, s.d.Runs(""))
+	})
 	t.Run("is given up by the data centre that it was transferred to", func(t *testing.T) {
 		s := newCrashFixture(t, 12, workflow("deadly", kinds["plain"]))
 		s.play(restartTime + time.Second)
