dispatcher: the fourth loss gives a task up, the third if it started alone

Change: any loss counts one. From two on a task is isolated, as before only shortly before the end; then a loss right after its start is proof and ends it. Without proof the fourth loss does.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -5,45 +5,52 @@
 	"time"
 )
 
-// A worker that is lost may have crashed under one of its runs. Each loss adds to
-// the suspicion against the tasks that are most likely to have caused it.
+// The suspicion against a task is the number of workers in a row that were lost
+// under it and may have crashed because of it.
 const (
-	// strongEvidence counts against a task that the worker had just started.
-	strongEvidence = 3
-	// weakEvidence counts against a task whose start was not answered, so that it
-	// may not have arrived, or against all others if nothing had just started.
-	weakEvidence = 2
-	// maxSuspicion is the suspicion from which a task is given up: three workers lost
-	// right after they had started it, or at most five in any case. The platform
-	// allows two starts more after three crashes.
-	maxSuspicion = 9
+	// isolateAt is the suspicion from which a task is isolated: it starts on a worker
+	// on which nothing else has just started, so that one more loss is proof.
+	isolateAt = 2
+	// maxSuspicion is the suspicion from which a task is given up even without that
+	// proof. The platform allows two starts more after three crashes.
+	maxSuspicion = 4
 	// settleTime is how long after its start a run must be listed to show that the
 	// start has not crashed the worker: a reply may list a run that is about to do
 	// so. Starts crash a worker at once.
 	settleTime = 500 * time.Millisecond
 )
 
-// suspect is a task under which a worker was lost, with the evidence against it.
-type suspect struct {
-	task     *task
-	evidence int
-}
+// evidence is how strongly the loss of its worker speaks against a run. Only the
+// runs with the strongest evidence on a worker are suspected.
+type evidence uint8
+
+const (
+	evidenceNone       evidence = iota // A long-running task that was at work.
+	evidencePresent                    // The run had settled.
+	evidenceUnanswered                 // The start may not have arrived before the loss.
+	evidenceStarted                    // The worker had just started the run.
+)
 
-// evidence returns how strongly the loss of its worker speaks against a run, and a
-// rank: only the runs of the highest rank on a worker are suspected.
-func (r *run) evidence() (evidence, rank int) {
+func (r *run) evidence() evidence {
 	switch {
 	case r.task.step.spec().LongRunning && r.settled && r.progress == atWork:
-		return 0, 0
+		return evidenceNone
 	case r.settled:
-		return weakEvidence, 1
+		return evidencePresent
 	case r.state != runAlive:
-		return weakEvidence, 2
+		return evidenceUnanswered
 	default:
-		return strongEvidence, 3
+		return evidenceStarted
 	}
 }
 
+// suspect is a task under which a worker was lost, and what that added to the
+// suspicion.
+type suspect struct {
+	task  *task
+	added int
+}
+
 // suspectRuns counts the loss of a worker against the tasks that are most likely
 // to have caused it, and returns them. Its other runs are lost as well. A worker
 // that had announced that it leaves has not crashed.
@@ -51,16 +58,14 @@
 	if w.entry.Draining {
 		return nil
 	}
-	highest := 0
+	strongest := evidenceNone
 	for _, r := range w.runs {
-		_, rank := r.evidence()
-		highest = max(highest, rank)
+		strongest = max(strongest, r.evidence())
 	}
 	var suspects []suspect
 	for _, r := range w.runs {
-		if evidence, rank := r.evidence(); rank == highest && evidence > 0 {
-			d.suspect(r, evidence)
-			suspects = append(suspects, suspect{task: r.task, evidence: evidence})
+		if strongest != evidenceNone && r.evidence() == strongest {
+			suspects = append(suspects, d.suspect(r))
 		}
 	}
 	return suspects
@@ -68,13 +73,19 @@
 
 // suspect adds to the suspicion against the task of a run that was lost with its
 // worker.
-func (d *Dispatcher) suspect(r *run, evidence int) {
+func (d *Dispatcher) suspect(r *run) suspect {
 	t := r.task
-	t.suspicion += evidence
+	before := t.suspicion
+	if t.isolated() && r.evidence() == evidenceStarted {
+		t.suspicion = maxSuspicion
+	} else {
+		t.suspicion++
+	}
 	d.counters.Suspects++
 	d.markDirty(t.step.job)
 	d.logger.Warn("worker lost under a task", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
 		"run", r.ref.Run, "worker", r.worker.id, "settled", r.settled, "state", r.state.String(), "suspicion", t.suspicion, "given-up", t.crashing())
+	return suspect{task: t, added: t.suspicion - before}
 }
 
 // clearSuspects withdraws the suspicion against the tasks under which a worker was
@@ -82,7 +93,7 @@
 func (d *Dispatcher) clearSuspects(w *worker) {
 	for _, s := range w.suspects {
 		t := s.task
-		t.suspicion = max(0, t.suspicion-s.evidence)
+		t.suspicion = max(0, t.suspicion-s.added)
 		d.markDirty(t.step.job)
 		d.logger.Info("worker was only silent under a task", "workflow", t.step.job.workflow.ID, "step", t.step.number, "index", t.index,
 			"worker", w.id, "suspicion", t.suspicion)
@@ -94,9 +105,8 @@
 // it.
 func (t *task) crashing() bool { return t.suspicion >= maxSuspicion }
 
-// isolated reports whether the task is given up if a worker is lost right after
-// its next start.
-func (t *task) isolated() bool { return !t.crashing() && t.suspicion+strongEvidence >= maxSuspicion }
+// isolated reports whether the task must start alone, see isolateAt.
+func (t *task) isolated() bool { return t.suspicion >= isolateAt && !t.crashing() }
 
 // settle records that a worker lists a run long enough after its start. A
 // long-running task that is at work then is no suspect any more.
@@ -108,7 +118,7 @@
 			d.needsPlan = true
 		}
 	}
-	if evidence, _ := r.evidence(); evidence == 0 && r.task.suspicion > 0 {
+	if r.task.suspicion > 0 && r.evidence() == evidenceNone {
 		r.task.suspicion = 0
 		d.markDirty(r.task.step.job)
 	}
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -284,7 +284,7 @@
 		case r.state == runUnknown:
 			if w.clock < d.config.MaxLease {
 				// The worker has restarted since its last renewal by the earlier owner.
-				d.suspect(r, weakEvidence)
+				d.suspect(r)
 			}
 			d.markLost(r, "not listed by the recorded worker")
 		case r.state == runAlive && r.startAnsweredAt < sent:
