--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -22,6 +22,7 @@
 	beatInterval      = 1500 * time.Millisecond
 	maxListedEnds     = 500
 	stopDelay         = 20 * time.Millisecond
+	startupTime       = 300 * time.Millisecond // Until a task that lasts is at work.
 	restoreDelay      = 600 * time.Millisecond
 	checkpointEvery   = time.Second
 	executorTick      = 20 * time.Millisecond
@@ -35,6 +36,7 @@
 type behaviour struct {
 	work        time.Duration // At full speed.
 	checkpoints bool
+	lasts       bool // Runs until it is stopped.
 }
 
 // runKey names a run.
@@ -50,6 +52,7 @@
 	done     time.Duration // Work that was done before since.
 	work     time.Duration
 	saves    bool
+	lasts    bool
 	pace     int
 	stopping bool
 }
@@ -179,7 +182,7 @@
 		switch {
 		case lapsed:
 			x.end(r, "lapsed")
-		case !r.stopping && r.progress() >= r.work:
+		case !r.stopping && !r.lasts && r.progress() >= r.work:
 			x.end(r, "done")
 		}
 	}
@@ -314,7 +317,7 @@
 	}
 	x.renew(o.DeadlineMs)
 	b := x.behave(o.Task)
-	r := &activeRun{key: key, since: time.Now(), work: b.work, saves: b.checkpoints, pace: fullPercent}
+	r := &activeRun{key: key, since: time.Now(), work: b.work, saves: b.checkpoints, lasts: b.lasts, pace: fullPercent}
 	if ms, err := strconv.ParseInt(o.Checkpoint, 16, 64); err == nil && o.Checkpoint != "" {
 		r.done = time.Duration(ms)*time.Millisecond - restoreDelay
 	}
@@ -354,6 +357,9 @@
 	for _, key := range slices.SortedFunc(maps.Keys(x.runs), func(a, b runKey) int { return compareRuns(a, b) }) {
 		r := x.runs[key]
 		percent := min(fullPercent-1, max(0, int(fullPercent*r.progress()/r.work)))
+		if r.lasts && r.progress() > startupTime {
+			percent = fullPercent
+		}
 		running = append(running, []any{key.task, key.run, r.checkpoint(false), percent, 0})
 	}
 	ended := [][]any{}
--- a/review/stand/long.go
+++ b/review/stand/long.go
@@ -4,57 +4,72 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
 const (
-	longJobs     = 12
-	longEstimate = 7 * time.Second // As in the example of PROTOCOL.md.
-	longWork     = 240 * time.Second
-	longDuration = 80 * time.Second
+	longJobs     = 240
+	longInterval = 100 * time.Millisecond // Between two jobs; about the site's traffic.
+	longEvery    = 20                     // One job of this many takes long: a share of 0.05, the site's poison.
+	longEstimate = 2200 * time.Millisecond
+	longFactor   = 100
+	longWatch    = 45 * time.Second // After finish_s.
 	finishTime   = 14 * time.Second // The site's finish_s.
 	idleTime     = 3 * time.Second  // From the rule LOST.
 )
 
-// runLong plays jobs of one task. With trouble the tasks take many times as long as
-// the jobs say. From finish_s after they were handed in, no job may have nothing
-// running for 3 s, since the executors are nearly empty.
+// runLong plays traffic of jobs of one task. With trouble a share of them takes many
+// times as long as they say. From finish_s after the end of the traffic, no job may
+// have nothing running for 3 s, since the executors are nearly empty.
 func runLong(s *system, trouble bool) (broken []string, err error) {
-	work := longEstimate
-	if trouble {
-		work = longWork
+	long := map[string]bool{}
+	behave := func(task string) behaviour {
+		id, _, _ := strings.Cut(task, ".")
+		if long[id] {
+			return behaviour{work: longFactor * longEstimate}
+		}
+		return behaviour{work: longEstimate}
+	}
+	var ids []string
+	for i := range longJobs {
+		id := fmt.Sprintf("%016x", 0xb000+i)
+		ids = append(ids, id)
+		long[id] = trouble && i%longEvery == 0
 	}
-	if err := s.addExecutors(2, func(string) behaviour { return behaviour{work: work} }); err != nil {
+	if err := s.addExecutors(2, behave); err != nil {
 		return nil, err
 	}
 	if err := s.start(); err != nil {
 		return nil, err
 	}
-	var ids []string
-	for i := range longJobs {
-		id := fmt.Sprintf("%016x", 0xb000+i)
-		job := map[string]any{"specification": "archive", "steps": []map[string]any{
-			{"count": 1, "cpu": 1000, "taskMemoryMb": 1024, "estimatedMs": longEstimate.Milliseconds()},
-		}}
+	job := map[string]any{"specification": "archive", "steps": []map[string]any{
+		{"count": 1, "cpu": 1000, "taskMemoryMb": 1024, "estimatedMs": longEstimate.Milliseconds()},
+	}}
+	for i, id := range ids {
 		if status, _ := s.call(s.hosts[i%len(s.hosts)], http.MethodPost, seasonPrefix+id, job, clientTimeout); status != http.StatusOK {
 			return nil, fmt.Errorf("a job was not accepted: %d", status)
 		}
-		ids = append(ids, id)
+		time.Sleep(longInterval)
 	}
-	from := s.record.now() + finishTime
-	time.Sleep(longDuration)
+	s.record.printf("the traffic has ended")
+	time.Sleep(finishTime)
+	from := s.record.now()
+	time.Sleep(longWatch)
+	to := s.record.now()
+	unfinished := 0
 	for _, id := range ids {
-		to := s.record.now()
 		if s.state(s.hosts[0], seasonPrefix+id) == "completed" {
 			continue
 		}
+		unfinished++
 		for _, g := range s.ledger.gaps(id, from, to) {
 			broken = append(broken, fmt.Sprintf("job %s had nothing running from %.3f to %.3f s", id, g.from.Seconds(), g.to.Seconds()))
 		}
 	}
 	starts, stopped := s.ledger.count("stopped")
 	_, done := s.ledger.count("done")
-	s.record.printf("%d tasks, %d starts, %d ends as stopped, %d as done", longJobs, starts, stopped, done)
+	s.record.printf("%d tasks, %d starts, %d ends as stopped, %d as done; %d jobs unfinished", longJobs, starts, stopped, done, unfinished)
 	return broken, nil
 }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,8 +24,10 @@
 
 // cases are the plays by name. Each returns what breaks its rule.
 var cases = map[string]func(s *system, trouble bool) ([]string, error){
-	"ends": runEnds,
-	"long": runLong,
+	"ends":   runEnds,
+	"long":   runLong,
+	"cancel": runCancel,
+	"graph":  runGraph,
 }
 
 func main() { os.Exit(play()) }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -54,7 +54,7 @@
 type store struct {
 	// fault is called for every call of a host. It returns true if it has dealt
 	// with the call; apply carries it out.
-	fault func(rw http.ResponseWriter, req *http.Request, apply func()) bool
+	fault func(host string, rw http.ResponseWriter, req *http.Request, apply func()) bool
 
 	mu     sync.Mutex
 	topics map[string]*topic
@@ -99,7 +99,13 @@
 	return first
 }
 
-func (s *store) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
+// handler returns the handler of the calls of one host, which has an address of the
+// store for itself.
+func (s *store) handler(host string) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { s.serve(host, rw, req) })
+}
+
+func (s *store) serve(host string, rw http.ResponseWriter, req *http.Request) {
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
@@ -112,7 +118,7 @@
 		http.NotFound(rw, req)
 		return
 	}
-	if s.fault != nil && s.fault(rw, req, func() { serve(discard{}, req, body) }) {
+	if s.fault != nil && s.fault(host, rw, req, func() { serve(discard{}, req, body) }) {
 		return
 	}
 	serve(rw, req, body)
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -55,7 +55,7 @@
 
 func newSystem(binary, dir string, r *record) *system {
 	s := &system{binary: binary, dir: dir, record: r, ledger: newLedger(r), store: newStore()}
-	s.store.fault = func(rw http.ResponseWriter, _ *http.Request, _ func()) bool {
+	s.store.fault = func(_ string, rw http.ResponseWriter, _ *http.Request, _ func()) bool {
 		if s.down.Load() {
 			reply(rw, http.StatusServiceUnavailable, struct{}{})
 			return true
@@ -104,13 +104,8 @@
 		return err
 	}
 	s.store.put("keyed.op", "config", config)
-	listener, err := net.Listen("tcp", s.newIP()+":0")
-	if err != nil {
-		return err
-	}
-	go func() { _ = http.Serve(listener, s.store) }()
 	for _, zone := range zones {
-		h, err := s.newHost(zone, listener.Addr().String())
+		h, err := s.newHost(zone)
 		if err != nil {
 			return err
 		}
@@ -152,8 +147,13 @@
 	return l.Addr().(*net.TCPAddr).Port, nil
 }
 
-// newHost writes the settings of a host, as in DEPLOY.md.
-func (s *system) newHost(zone, storeAddress string) (*host, error) {
+// newHost serves the store to a new host and writes the host's settings, as in
+// DEPLOY.md.
+func (s *system) newHost(zone string) (*host, error) {
+	listener, err := net.Listen("tcp", s.newIP()+":0")
+	if err != nil {
+		return nil, err
+	}
 	ip := s.newIP()
 	var ports [4]int
 	for i := range ports {
@@ -167,6 +167,7 @@
 		name: "front-" + zone + "-1", zone: zone, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1]),
 		settings: filepath.Join(s.dir, zone+".conf"),
 	}
+	go func() { _ = http.Serve(listener, s.store.handler(h.name)) }()
 	lines := []string{
 		"node=" + h.name, "role=host", "machineClass=front", "serves=front", "ip=" + ip, "zone=" + zone, "region=louna-eesti",
 		"listen.front=" + h.front, "listen.ready=" + h.ready, fmt.Sprintf("listen.control=%s:%d", ip, ports[2]),
@@ -176,7 +177,7 @@
 		"tolerate.machines=1", "tolerate.zones=1", "tolerate.regions=0", "bounds.contactMs=3000", "bounds.acknowledgeMs=4000", "bounds.drainMs=2000",
 		"bounds.graceS=6", "bounds.lossSlackMs=200", "bounds.configurationMs=2000", "bounds.evacuationMs=5000", "bounds.recoveryS=12", "bounds.holdMaxMs=6000",
 		"bounds.stopMs=200", "bounds.gangMs=3000", "bounds.cancel_ms=3000", "bounds.visible_ms=3000", "bounds.early_ms=250", "bounds.finish_s=14", "bounds.status_s=120",
-		"bounds.farMultiplier=3", "bounds.checkpointS=1", "bounds.restoreMs=600", "orders=request", "platform.address=" + storeAddress, "platform.form=log",
+		"bounds.farMultiplier=3", "bounds.checkpointS=1", "bounds.restoreMs=600", "orders=request", "platform.address=" + listener.Addr().String(), "platform.form=log",
 		"platform.writesPerS=600", "platform.readsPerS=2000", "platform.parts=16", "platform.appendMs=3.0", "platform.recordBytes=262144", "platform.requestBytes=2097152",
 		"platform.keep_s=300", "platform.partitionMb=200",
 	}
