--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -140,27 +140,18 @@
 	x.beatAt = time.Time{}
 }
 
-// crash drops everything, connections too, and starts the executor again at the
-// same address after a while.
-func (x *executor) crash(down time.Duration) error {
+// lose ends the executor for good. Its entry is removed after three beats.
+func (x *executor) lose() {
 	x.mu.Lock()
 	x.up = false
 	for key := range x.runs {
-		x.ledger.ended(x.id, key, "crashed", 0)
+		x.ledger.ended(x.id, key, "lost", 0)
 	}
 	x.runs = map[runKey]*activeRun{}
 	x.mu.Unlock()
-	x.ledger.record.printf("executor %s crashes", x.id)
 	x.server.Close()
-	time.Sleep(down)
-	listener, err := net.Listen("tcp", x.address)
-	if err != nil {
-		return err
-	}
-	x.bear()
-	x.serveOn(listener)
-	x.ledger.record.printf("executor %s is back", x.id)
-	return nil
+	x.ledger.record.printf("executor %s is lost", x.id)
+	time.AfterFunc(entryLifetime, func() { x.store.put("keyed.servers", x.id, nil) })
 }
 
 // tick ends runs and writes beats until the program ends.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,6 +28,8 @@
 	"long":   runLong,
 	"cancel": runCancel,
 	"graph":  runGraph,
+	"labels": runLabels,
+	"racks":  runRacks,
 }
 
 func main() { os.Exit(play()) }
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -71,23 +71,47 @@
 	return fmt.Sprintf("127.%d.%d.%d", 40+os.Getpid()/200%160, os.Getpid()%200, s.addresses)
 }
 
-// addExecutors starts executors in every zone.
+// addExecutors starts executors in every zone, all on one rack.
 func (s *system) addExecutors(perZone int, behave func(task string) behaviour) error {
+	return s.addRack(0, perZone, behave)
+}
+
+// addRack starts a rack of executors in every zone.
+func (s *system) addRack(rack, perRack int, behave func(task string) behaviour) error {
 	for _, zone := range zones {
-		for i := range perZone {
-			x := &executor{
-				id: fmt.Sprintf("i-%s-%d", zone, i), zone: zone, rack: fmt.Sprintf("r-%s-1", zone), label: "a", service: serviceName,
-				store: s.store, ledger: s.ledger, behave: behave, storeDown: s.down.Load,
-			}
-			if err := x.serve(s.newIP() + ":0"); err != nil {
+		for i := range perRack {
+			if _, err := s.addExecutor(zone, commonLabel, rack, rack*perRack+i, behave); err != nil {
 				return err
 			}
-			s.executors = append(s.executors, x)
 		}
 	}
 	return nil
 }
 
+// addExecutor starts an executor.
+func (s *system) addExecutor(zone, label string, rack, number int, behave func(task string) behaviour) (*executor, error) {
+	x := &executor{
+		id: fmt.Sprintf("i-%s-%d", zone, number), zone: zone, rack: rackName(zone, rack), label: label, service: serviceName,
+		store: s.store, ledger: s.ledger, behave: behave, storeDown: s.down.Load,
+	}
+	if err := x.serve(s.newIP() + ":0"); err != nil {
+		return nil, err
+	}
+	s.executors = append(s.executors, x)
+	return x, nil
+}
+
+func rackName(zone string, rack int) string { return fmt.Sprintf("r-%s-%d", zone, rack) }
+
+// loseRack loses the executors of a rack for good.
+func (s *system) loseRack(zone string, rack int) {
+	for _, x := range s.executors {
+		if x.rack == rackName(zone, rack) {
+			x.lose()
+		}
+	}
+}
+
 // start starts the store and one host in each zone, and waits until they are
 // ready.
 func (s *system) start() error {
