--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,6 +25,7 @@
 // cases are the plays by name. Each returns what breaks its rule.
 var cases = map[string]func(s *system, trouble bool) ([]string, error){
 	"ends":   runEnds,
+	"entry":  runEntry,
 	"long":   runLong,
 	"cancel": runCancel,
 	"graph":  runGraph,
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -129,7 +129,7 @@
 	}
 	s.store.put("keyed.op", "config", config)
 	for _, zone := range zones {
-		h, err := s.newHost(zone)
+		h, err := s.newHost(zone, 1)
 		if err != nil {
 			return err
 		}
@@ -173,7 +173,7 @@
 
 // newHost serves the store to a new host and writes the host's settings, as in
 // DEPLOY.md.
-func (s *system) newHost(zone string) (*host, error) {
+func (s *system) newHost(zone string, number int) (*host, error) {
 	listener, err := net.Listen("tcp", s.newIP()+":0")
 	if err != nil {
 		return nil, err
@@ -188,8 +188,8 @@
 		ports[i] = port
 	}
 	h := &host{
-		name: "front-" + zone + "-1", zone: zone, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1]),
-		settings: filepath.Join(s.dir, zone+".conf"),
+		name: fmt.Sprintf("front-%s-%d", zone, number), zone: zone, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1]),
+		settings: filepath.Join(s.dir, fmt.Sprintf("%s-%d.conf", zone, number)),
 	}
 	go func() { _ = http.Serve(listener, s.store.handler(h.name)) }()
 	lines := []string{
