--- a/review/stand/ends.go
+++ b/review/stand/ends.go
@@ -10,8 +10,9 @@
 
 const (
 	endsJobs     = 60
-	endsTasks    = 36 // The widest step on the sheet.
-	endsWork     = 2500 * time.Millisecond
+	endsTasks    = 36                    // The widest step on the sheet.
+	endsInterval = 36 * time.Millisecond // Between two jobs: the site's burst, 2.5 times its usual 11 a second.
+	endsWork     = 3500 * time.Millisecond
 	endsOutage   = 4500 * time.Millisecond // The site's platform_down.
 	endsDuration = 60 * time.Second
 )
@@ -39,12 +40,13 @@
 				accepted.Add(1)
 			}
 		})
+		time.Sleep(endsInterval)
 	}
 	clients.Wait()
 	if accepted.Load() != endsJobs {
 		return nil, fmt.Errorf("only %d of %d jobs were accepted", accepted.Load(), endsJobs)
 	}
-	for until := time.Now().Add(endsWork); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+	for until := time.Now().Add(endsWork / 2); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
 		if starts, _ := s.ledger.count("done"); starts == endsJobs*endsTasks {
 			break
 		}
--- a/review/stand/long.go
+++ b/review/stand/long.go
@@ -9,16 +9,20 @@
 )
 
 const (
-	longJobs     = 240
-	longInterval = 100 * time.Millisecond // Between two jobs; about the site's traffic.
-	longEvery    = 20                     // One job of this many takes long: a share of 0.05, the site's poison.
-	longEstimate = 2200 * time.Millisecond
-	longFactor   = 100
+	longJobs     = 320
+	longInterval = 75 * time.Millisecond // Between two jobs; about the site's traffic.
+	longWindow   = 40                    // Jobs in 3 s, the length of the site's poison.
+	longEvery    = 20                    // One job of this many in a window takes long: its share, 0.05.
+	longEstimate = 1500 * time.Millisecond
+	longFactor   = 150
 	longWatch    = 45 * time.Second // After finish_s.
 	finishTime   = 14 * time.Second // The site's finish_s.
 	idleTime     = 3 * time.Second  // From the rule LOST.
 )
 
+// longWindows are the first jobs of the times in which a share of the jobs takes long.
+var longWindows = []int{80, 200}
+
 // runLong plays traffic of jobs of one task. With trouble a share of them takes many
 // times as long as they say. From finish_s after the end of the traffic, no job may
 // have nothing running for 3 s, since the executors are nearly empty.
@@ -35,9 +39,13 @@
 	for i := range longJobs {
 		id := fmt.Sprintf("%016x", 0xb000+i)
 		ids = append(ids, id)
-		long[id] = trouble && i%longEvery == 0
+		for _, first := range longWindows {
+			if trouble && i >= first && i < first+longWindow && (i-first)%longEvery == 0 {
+				long[id] = true
+			}
+		}
 	}
-	if err := s.addExecutors(2, behave); err != nil {
+	if err := s.addExecutors(1, behave); err != nil {
 		return nil, err
 	}
 	if err := s.start(); err != nil {
