imitator: tell a second start by its worker too, not by the run's number alone

Callers saw tasks that must run once start again, and no test or soak did. A new owner that knows nothing of a task's first run gives the second one the same number. The pool took both for one run, so an end that was acknowledged after the second start went unnoticed.

The start of a task is now remembered with its worker. The new case of TestPoolTellsSecondRuns failed before; the check is only stricter.

--- a/imitator/check.go
+++ b/imitator/check.go
@@ -53,8 +53,9 @@
 	if s.step == nil || s.step.Speculative {
 		return
 	}
-	if last := p.lastStart[e.Run.Task]; last.run != e.Run.Run && last.at.After(w.endedAt[0]) {
-		p.recordViolation(s, "run %d was started after its successful end, which is acknowledged now", last.run)
+	last := p.lastStart[e.Run.Task]
+	if same := last.run == e.Run.Run && last.worker == w.entry.ID; !same && last.at.After(w.endedAt[0]) {
+		p.recordViolation(s, "run %d was started on %s after its successful end, which is acknowledged now", last.run, last.worker)
 	}
 }
 
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -63,8 +63,9 @@
 
 // taskStart is the last start of a task.
 type taskStart struct {
-	run uint32
-	at  time.Time
+	run    uint32
+	worker string
+	at     time.Time
 }
 
 // PoolCounts are the event counters of a pool's workers.
@@ -317,7 +318,7 @@
 	}
 	w.renewLease(o.Until)
 	p.checkStart(w, o.Run)
-	p.lastStart[o.Run.Task] = taskStart{run: o.Run.Run, at: time.Now()}
+	p.lastStart[o.Run.Task] = taskStart{run: o.Run.Run, worker: w.entry.ID, at: time.Now()}
 	p.counts.Starts++
 	p.started[o.Run.Task.Workflow] = true
 	work, outcome := p.config.SimulateRun(o.Run)
--- a/imitator/pool_test.go
+++ b/imitator/pool_test.go
@@ -12,10 +12,16 @@
 	"briarspring"
 )
 
+// secondRun is what happens to a task that has run to its end on one worker.
+type secondRun struct {
+	pause        time.Duration // Until the end is acknowledged.
+	number       uint32        // Of the run on another worker.
+	acknowledged bool          // The end is acknowledged before that run, not after it.
+}
+
 // runTaskTwice runs a task to its end on one worker and starts it again on
-// another. The end is acknowledged after a pause. It returns the violations that
-// the pool recorded.
-func runTaskTwice(t *testing.T, pause time.Duration) []string {
+// another. It returns the violations that the pool recorded.
+func runTaskTwice(t *testing.T, second secondRun) []string {
 	t.Helper()
 	var violations []string
 	synctest.Test(t, func(t *testing.T) {
@@ -33,11 +39,19 @@
 		c := p.Client("owner")
 		run := briarspring.RunRef{Task: briarspring.TaskRef{Workflow: "w"}, Run: 1}
 		require.NoError(t, c.Start(ctx, "", "a", briarspring.StartOrder{Run: run, Until: 3 * time.Second, Token: 1}))
-		time.Sleep(work + pause)
-		_, err := c.RenewLease(ctx, "", "a", briarspring.LeaseRequest{Token: 1, Until: 10 * time.Second, LastSeenEnd: 1})
-		require.NoError(t, err)
-		run.Run = 2
+		time.Sleep(work + second.pause)
+		run.Run = second.number
+		acknowledge := func() {
+			_, err := c.RenewLease(ctx, "", "a", briarspring.LeaseRequest{Token: 1, Until: 10 * time.Second, LastSeenEnd: 1})
+			require.NoError(t, err)
+		}
+		if second.acknowledged {
+			acknowledge()
+		}
 		require.NoError(t, c.Start(ctx, "", "b", briarspring.StartOrder{Run: run, Until: 30 * time.Second, Token: 1}))
+		if !second.acknowledged {
+			acknowledge()
+		}
 		violations = p.Violations()
 	})
 	return violations
@@ -45,9 +59,15 @@
 
 func TestPoolTellsSecondRuns(t *testing.T) {
 	t.Run("after an end that was acknowledged before the lease expired", func(t *testing.T) {
-		assert.Len(t, runTaskTwice(t, time.Second), 1)
+		assert.Len(t, runTaskTwice(t, secondRun{pause: time.Second, number: 2, acknowledged: true}), 1)
 	})
 	t.Run("but not after one that was unacknowledged when the lease expired", func(t *testing.T) {
-		assert.Empty(t, runTaskTwice(t, 4*time.Second))
+		assert.Empty(t, runTaskTwice(t, secondRun{pause: 4 * time.Second, number: 2, acknowledged: true}))
+	})
+	t.Run("after an end that is acknowledged later", func(t *testing.T) {
+		assert.Len(t, runTaskTwice(t, secondRun{pause: time.Second, number: 2}), 1)
+	})
+	t.Run("also under the number of the first run", func(t *testing.T) {
+		assert.Len(t, runTaskTwice(t, secondRun{pause: time.Second, number: 1}), 1)
 	})
 }
