Reproduce a second start of a task whose end only one worker knows

Callers saw tasks that must run once start again after their end was acknowledged. While the progress stream is out of reach, a task starts and ends on a worker whose entry has expired. The owner's inventory, which goes to another stream, then leaves that worker out. The next owner doesn't ask it, and starts the task again within 0.1 s; the first end is acknowledged when the worker's entry is back.

--- a/assembler/host_workflows_test.go
+++ b/assembler/host_workflows_test.go
@@ -150,6 +150,29 @@
 		assertNoViolations(t, f)
 	}, tartu)
 
+	// Guards against a new owner that starts a task again which has ended on a worker
+	// without an entry, because only the earlier owner knew of that worker.
+	inVirtualTime(t, "the end of a run on a worker without an entry isn't stored when the owner is killed", func(t *testing.T, f *fleet) {
+		const id = "0000000000000019"
+		task, other := shortStep(1), shortStep(1)
+		task.Estimate, other.Estimate = 7*time.Second, 25*time.Second
+		task.Resources, other.Resources = cores(workerCPU), cores(workerCPU) // One to a worker.
+		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond, SilentStreams: map[string]bool{briarspring.ProgressStream(tartu): true}})
+		f.submit(id, task, other)
+		time.Sleep(300 * time.Millisecond)
+		first := briarspring.TaskRef{Workflow: id}
+		only := f.workerOf(id)
+		f.publisher.Withhold(only, true)
+		time.Sleep(8 * time.Second)
+		require.Zero(t, f.pool.Running(first))
+		go f.kill(f.owner(tartu), time.Second)
+		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+		time.Sleep(2 * time.Second)
+		f.publisher.Withhold(only, false)
+		assertPhase(t, f, id, briarspring.PhaseCompleted, 30*time.Second)
+		assertNoViolations(t, f)
+	}, tartu)
+
 	// Guards against an owner without the log that goes on using the only worker that
 	// the next owner can't reach.
 	inVirtualTime(t, "the owner is cut off from the log and from most workers", func(t *testing.T, f *fleet) {
--- a/dispatcher/takeover_test.go
+++ b/dispatcher/takeover_test.go
@@ -226,4 +226,20 @@
 		s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
 		assert.Empty(t, starts(s.advance(time.Second)))
 	})
+	t.Run("include one without an entry whose ended run isn't stored", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 2)
+		s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+		list := starts(s.advanceWithoutLog(400 * time.Millisecond))["w0"]
+		require.Len(t, list, 1)
+		s.d.SetWorkers(s.now, s.entries("w1"))
+		s.endRun("w0", list[0], briarspring.RunDone)
+		s.advanceWithoutLog(time.Second)
+		require.True(t, s.d.HasUnstoredEnds("w0"))
+		v, _ := s.d.Inventory(s.now)
+		assert.Equal(t, known(s, "w0", "w1"), v.Workers)
+		assert.Contains(t, s.d.Workers(), "w0")
+		s.store()
+		v, _ = s.d.Inventory(s.now)
+		assert.Equal(t, known(s, "w1"), v.Workers)
+	})
 }
--- a/imitator/keyed.go
+++ b/imitator/keyed.go
@@ -63,6 +63,7 @@
 	LostAnswerShare float64       // Share of appends that get no answer.
 	LateAppendShare float64       // Share of those that are carried out seconds later.
 	CutCallers      map[string]bool
+	SilentStreams   map[string]bool // Streams whose calls get no answer.
 }
 
 type keyedStream struct {
@@ -176,11 +177,11 @@
 }
 
 // simulateFaults waits for the latency and fails as the injected faults require.
-func (c *KeyedClient) simulateFaults(ctx context.Context, call string) error {
+func (c *KeyedClient) simulateFaults(ctx context.Context, call, stream string) error {
 	c.store.mu.Lock()
 	c.store.calls++
 	f := c.store.faults
-	cut := f.CutCallers[c.caller]
+	cut := f.CutCallers[c.caller] || f.SilentStreams[stream]
 	c.store.mu.Unlock()
 	if cut || f.Silent {
 		<-ctx.Done()
@@ -196,9 +197,10 @@
 }
 
 // deliver fails if the answer to a call can't reach the caller any more.
-func (c *KeyedClient) deliver(ctx context.Context, call string) error {
+func (c *KeyedClient) deliver(ctx context.Context, call, stream string) error {
 	c.store.mu.Lock()
-	blocked := c.store.faults.Silent || c.store.faults.CutCallers[c.caller]
+	f := c.store.faults
+	blocked := f.Silent || f.CutCallers[c.caller] || f.SilentStreams[stream]
 	c.store.mu.Unlock()
 	if !blocked {
 		return nil
@@ -215,7 +217,7 @@
 
 // Append adds records to a stream and returns the offset after them.
 func (c *KeyedClient) Append(ctx context.Context, stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (uint64, error) {
-	if err := c.simulateFaults(ctx, "append"); err != nil {
+	if err := c.simulateFaults(ctx, "append", stream); err != nil {
 		return 0, err
 	}
 	if err := checkSize(records); err != nil {
@@ -285,7 +287,7 @@
 // Read returns the records starting at an offset. It waits up to wait for the
 // first one.
 func (c *KeyedClient) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (briarspring.KeyedPage, error) {
-	if err := c.simulateFaults(ctx, "read"); err != nil {
+	if err := c.simulateFaults(ctx, "read", stream); err != nil {
 		return briarspring.KeyedPage{}, err
 	}
 	timer := time.NewTimer(wait)
@@ -296,12 +298,12 @@
 			return page, err
 		}
 		if len(page.Records) > 0 {
-			return page, c.deliver(ctx, "read")
+			return page, c.deliver(ctx, "read", stream)
 		}
 		select {
 		case <-appended:
 		case <-timer.C:
-			return page, c.deliver(ctx, "read")
+			return page, c.deliver(ctx, "read", stream)
 		case <-ctx.Done():
 			return briarspring.KeyedPage{}, &briarspring.NoAnswerError{Call: "read", Cause: ctx.Err()}
 		}
@@ -329,7 +331,7 @@
 // Newest returns the newest records of the keys greater than after, sorted by
 // key, and whether there are more.
 func (c *KeyedClient) Newest(ctx context.Context, stream, after string) (briarspring.KeyedPage, bool, error) {
-	if err := c.simulateFaults(ctx, "newest"); err != nil {
+	if err := c.simulateFaults(ctx, "newest", stream); err != nil {
 		return briarspring.KeyedPage{}, false, err
 	}
 	c.store.mu.Lock()
