dispatcher: go on asking a worker until the ends of its runs are stored

Callers saw tasks that must run once start again after their end was acknowledged. Cause: an owner forgot a worker that had left the list once its last run had ended, although that end was in the owner's memory alone, and recorded an inventory without it. If the progress could not be stored, or the inventory was stored first, the next owner didn't ask that worker.

A worker with ends that aren't stored now stays among those that are asked, and in the inventory. Ruled out: the worker's recorded runs, which protect only what started while progress could be stored, and the workflow's final phase, which protects only its last task.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -57,7 +57,7 @@
 		b.dropped = append(b.dropped, id)
 	}
 	for _, w := range d.workersByID {
-		if w.lastEndSeen > w.lastEndStored {
+		if w.hasUnstoredEnds() {
 			b.ends = append(b.ends, endMark{worker: w, incarnation: w.incarnation, number: w.lastEndSeen})
 		}
 	}
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -86,7 +86,7 @@
 // the log yet.
 func (d *Dispatcher) HasUnstoredEnds(id string) bool {
 	w := d.workers[id]
-	return w != nil && w.lastEndSeen > w.lastEndStored
+	return w != nil && w.hasUnstoredEnds()
 }
 
 // HandleRenewal processes a worker's reply to a renewal that was sent at sent.
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -122,7 +122,7 @@
 // bounds memory while hosts are replaced continuously.
 func (d *Dispatcher) forgetWorkers() {
 	d.workersByID = slices.DeleteFunc(d.workersByID, func(w *worker) bool {
-		if w.listed || len(w.runs) > 0 || len(w.orphans) > 0 || w.unlistedAt == 0 || d.now-w.unlistedAt < unlistedRetention {
+		if w.listed || len(w.runs) > 0 || len(w.orphans) > 0 || w.hasUnstoredEnds() || w.unlistedAt == 0 || d.now-w.unlistedAt < unlistedRetention {
 			return false
 		}
 		delete(d.workers, w.id)
@@ -155,20 +155,25 @@
 }
 
 // Workers returns the addresses of the workers whose leases have to be renewed, by
-// ID. A new owner also needs to hear of workers that have left the list.
+// ID. A new owner also needs to hear of workers that have left the list, and of ends
+// that their worker alone can repeat until they are stored.
 func (d *Dispatcher) Workers() map[string]string {
 	list := map[string]string{}
 	for _, w := range d.workersByID {
 		if w.entry.Address == "" || w.gone {
 			continue
 		}
-		if w.listed || len(w.runs) > 0 || w.inherited && !w.reported && !d.leaseEnded(w) {
+		if w.listed || len(w.runs) > 0 || w.hasUnstoredEnds() || w.inherited && !w.reported && !d.leaseEnded(w) {
 			list[w.id] = w.entry.Address
 		}
 	}
 	return list
 }
 
+// hasUnstoredEnds reports whether the worker has reported ends that are not in the log
+// yet.
+func (w *worker) hasUnstoredEnds() bool { return w.lastEndSeen > w.lastEndStored }
+
 // clockNow estimates the present reading of the worker's clock.
 func (w *worker) clockNow(now time.Duration) time.Duration { return w.clock + now - w.clockAt }
 
