Record the workers that a new owner has to ask in the progress stream

Callers could see a task run twice: the workers that a new owner asks before it starts anything again were named by the inventory in the shared stream. Appends there have no order, and one that got no answer may be carried out seconds later. A host that restores from the newest records then reads an inventory that lacks workers which were used since. Found by reading, on the trace of workers that a new owner doesn't ask; the new test of TestTakeover stores an older inventory last and failed before (the task also ran on the worker that wasn't asked).

Owners now record each worker in the progress stream of their data centre, whose appends are fenced and carried out in order, so that a new owner reads exactly what the earlier one had stored. A worker is used once its record is stored, and the record is deleted when nothing on the worker can matter any more. Both writes now share the fate of the progress: neither can be stored without the other for want of a stream.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -258,6 +258,15 @@
 	return ""
 }
 
+// newest returns the newest record of a key.
+func (f *fleet) newest(stream, key string) briarspring.KeyedRecord {
+	page, _, err := f.store.Client("test").Newest(f.t.Context(), stream, "")
+	require.NoError(f.t, err)
+	i := slices.IndexFunc(page.Records, func(r briarspring.KeyedRecord) bool { return r.Key == key })
+	require.GreaterOrEqual(f.t, i, 0)
+	return page.Records[i]
+}
+
 // host returns the current process of a host.
 func (f *fleet) host(centre string, number int) *testHost {
 	f.mu.Lock()
--- a/assembler/host_workflows_test.go
+++ b/assembler/host_workflows_test.go
@@ -12,6 +12,7 @@
 	"briarspring"
 	"briarspring/admitter"
 	"briarspring/imitator"
+	"briarspring/registrar"
 )
 
 const (
@@ -173,6 +174,33 @@
 		assertNoViolations(t, f)
 	}, tartu)
 
+	// Guards against a new owner that starts a task again because the record of the workers
+	// that it has to ask was replaced by an older one whose append came late.
+	inVirtualTime(t, "an older inventory is stored last before all hosts are killed", func(t *testing.T, f *fleet) {
+		const id = "000000000000001a"
+		older := f.newest(briarspring.SharedStream, registrar.InventoryKey(tartu))
+		for _, name := range []string{"worker-tartu-8", "worker-tartu-9"} {
+			e := workerEntry(name, tartu, workerCPU, 0)
+			e.Labels = []string{"large"}
+			f.pool.Add(e)
+		}
+		time.Sleep(3 * time.Second)
+		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond, SilentStreams: map[string]bool{briarspring.ProgressStream(tartu): true}})
+		task := shortStep(1)
+		task.Estimate, task.Requirement = 25*time.Second, "large"
+		f.submit(id, task)
+		time.Sleep(300 * time.Millisecond)
+		f.publisher.Withhold(f.workerOf(id), true)
+		time.Sleep(6 * time.Second)
+		f.store.Put(briarspring.SharedStream, older)
+		for i := range hostsPerCentre {
+			go f.kill(f.host(tartu, i), time.Second)
+		}
+		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+		assertPhase(t, f, id, briarspring.PhaseCompleted, 40*time.Second)
+		assertNoViolations(t, f)
+	}, tartu)
+
 	// Guards against an owner without the log that goes on using the only worker that
 	// the next owner can't reach.
 	inVirtualTime(t, "the owner is cut off from the log and from most workers", func(t *testing.T, f *fleet) {
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -10,8 +10,9 @@
 
 // Batch holds records that are stored together.
 type Batch struct {
-	Progress []briarspring.KeyedRecord // For the data centre's progress stream.
+	Progress []briarspring.KeyedRecord // For the data centre's progress stream, of workflows and workers.
 	ends     []endMark
+	workers  []recordMark
 	starts   []*run // Starts to send once the batch is stored.
 	dropped  []briarspring.WorkflowID
 }
@@ -33,6 +34,7 @@
 // nothing to store.
 func (d *Dispatcher) TakeBatch() (Batch, bool) {
 	var b Batch
+	d.takeWorkerRecords(&b)
 	for id, j := range d.dirty {
 		delete(d.dirty, id)
 		if j.finalPhaseStored || j.cancelled || j.transferredAway {
@@ -94,6 +96,7 @@
 // Stored records that a batch is in the log. Workers may drop the ends that it
 // covers.
 func (d *Dispatcher) Stored(b Batch) {
+	d.workersStored(b)
 	for _, m := range b.ends {
 		if m.worker.incarnation == m.incarnation {
 			m.worker.lastEndStored = max(m.worker.lastEndStored, m.number)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -31,7 +31,8 @@
 	// Yields makes the owner order nothing while it can neither write progress nor
 	// reach most workers.
 	Yields bool
-	// RecordedOnly limits starts to workers that SetRecordedWorkers named.
+	// RecordedOnly records workers in the progress stream, and limits starts to those
+	// whose record is stored, so that a new owner knows whom to ask.
 	RecordedOnly bool
 	// Pacer sets the speed of best-effort tasks. It may be nil.
 	Pacer Pacer
@@ -94,8 +95,6 @@
 	predecessorsYield  bool                     // Those that may still give orders yield.
 	progressWrittenAt  time.Duration            // When the last successful append of progress was sent.
 	mostFencedAt       time.Duration            // When most inherited workers had accepted the token; zero before.
-	recorded           map[string]string        // Addresses of the workers that the inventory in the log names, by ID.
-	recordedVersion    uint64                   // Version of that inventory.
 	silentLeaseEnds    map[string]time.Duration // Lease ends of the workers that did not answer the last owner.
 	workersListed      bool                     // The list of workers was read at least once.
 	startsFrom         time.Duration            // Earliest start of inherited workflows.
--- a/dispatcher/inventory.go
+++ b/dispatcher/inventory.go
@@ -75,31 +75,21 @@
 // first call of SetWorkers.
 func (d *Dispatcher) AddKnownWorkers(list []briarspring.KnownWorker) {
 	for _, k := range list {
-		w := d.worker(k.ID)
-		w.entry = briarspring.WorkerEntry{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: d.config.DataCentre}
+		d.addKnownWorker(k)
 	}
 }
 
-// SetRecordedWorkers sets the workers that the inventory in the log names; the version
-// changes with them. With RecordedOnly, no others are used, so that a new owner knows
-// whom to ask.
-func (d *Dispatcher) SetRecordedWorkers(version uint64, list []briarspring.KnownWorker) {
-	if version == d.recordedVersion {
-		return
-	}
-	d.recordedVersion = version
-	d.recorded = make(map[string]string, len(list))
+// AddRecordedWorkers adds the workers that earlier owners have recorded in the progress
+// stream. It precedes the first call of SetWorkers.
+func (d *Dispatcher) AddRecordedWorkers(list []briarspring.KnownWorker) {
 	for _, k := range list {
-		d.recorded[k.ID] = k.Address
-	}
-	for _, w := range d.workersByID {
-		d.updateRecorded(w)
+		w := d.addKnownWorker(k)
+		w.recordAddress, w.recorded = k.Address, true
 	}
-	d.needsPlan = true
 }
 
-// updateRecorded sets whether the inventory in the log names the worker.
-func (d *Dispatcher) updateRecorded(w *worker) {
-	address, ok := d.recorded[w.id]
-	w.recorded = !d.config.RecordedOnly || ok && address == w.entry.Address
+func (d *Dispatcher) addKnownWorker(k briarspring.KnownWorker) *worker {
+	w := d.worker(k.ID)
+	w.entry = briarspring.WorkerEntry{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: d.config.DataCentre}
+	return w
 }
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -34,10 +34,12 @@
 	listedAt   time.Duration // When it last joined the list.
 	unlistedAt time.Duration // When it left the list; zero while listed.
 	leavesAt   time.Duration // Earliest time at which it leaves; zero unless draining.
-	recorded   bool          // May be used: the inventory in the log names it.
 	gone       bool          // Another process has its address.
 	inherited  bool          // Known when the claim took effect, so an earlier owner may have used it.
 
+	recorded      bool   // Its record is in the progress stream, so that it may be used.
+	recordAddress string // Address in its last record, stored or on its way; empty without one.
+
 	fenced        bool // Has answered under this owner's token in its present incarnation.
 	incarnation   int64
 	clock         time.Duration // The worker's clock at clockAt.
@@ -122,7 +124,7 @@
 // bounds memory while hosts are replaced continuously.
 func (d *Dispatcher) forgetWorkers() {
 	d.workersByID = slices.DeleteFunc(d.workersByID, func(w *worker) bool {
-		if w.listed || len(w.runs) > 0 || len(w.orphans) > 0 || w.hasUnstoredEnds() || w.unlistedAt == 0 || d.now-w.unlistedAt < unlistedRetention {
+		if w.listed || len(w.runs) > 0 || len(w.orphans) > 0 || w.hasUnstoredEnds() || w.recordAddress != "" || w.unlistedAt == 0 || d.now-w.unlistedAt < unlistedRetention {
 			return false
 		}
 		delete(d.workers, w.id)
@@ -149,7 +151,7 @@
 	w.listed = true
 	w.unlistedAt = 0
 	w.entry = e
-	d.updateRecorded(w)
+	w.recorded = w.recorded && w.recordAddress == e.Address || !d.config.RecordedOnly
 	d.updateLeaveTime(w)
 	return joined
 }
@@ -160,16 +162,21 @@
 func (d *Dispatcher) Workers() map[string]string {
 	list := map[string]string{}
 	for _, w := range d.workersByID {
-		if w.entry.Address == "" || w.gone {
-			continue
-		}
-		if w.listed || len(w.runs) > 0 || w.hasUnstoredEnds() || w.inherited && !w.reported && !d.leaseEnded(w) {
+		if d.asks(w) {
 			list[w.id] = w.entry.Address
 		}
 	}
 	return list
 }
 
+// asks reports whether the worker's lease has to be renewed.
+func (d *Dispatcher) asks(w *worker) bool {
+	if w.entry.Address == "" || w.gone {
+		return false
+	}
+	return w.listed || len(w.runs) > 0 || w.hasUnstoredEnds() || w.inherited && !w.reported && !d.leaseEnded(w)
+}
+
 // hasUnstoredEnds reports whether the worker has reported ends that are not in the log
 // yet.
 func (w *worker) hasUnstoredEnds() bool { return w.lastEndSeen > w.lastEndStored }
--- a/encoder/inventory.go
+++ b/encoder/inventory.go
@@ -17,7 +17,7 @@
 		})
 	}
 	for _, w := range v.Workers {
-		m.Workers = append(m.Workers, &pb.KnownWorker{Id: w.ID, Address: w.Address, Service: w.Service})
+		m.Workers = append(m.Workers, knownWorkerMessage(w))
 	}
 	return proto.Marshal(m)
 }
@@ -37,7 +37,29 @@
 		})
 	}
 	for _, w := range m.Workers {
-		v.Workers = append(v.Workers, briarspring.KnownWorker{ID: w.Id, Address: w.Address, Service: w.Service})
+		v.Workers = append(v.Workers, knownWorkerOf(w))
 	}
 	return v, nil
 }
+
+// EncodeKnownWorker encodes the record of a worker.
+func EncodeKnownWorker(w briarspring.KnownWorker) ([]byte, error) {
+	return proto.Marshal(knownWorkerMessage(w))
+}
+
+// DecodeKnownWorker decodes the record of a worker; errors are *MalformedError.
+func DecodeKnownWorker(data []byte) (briarspring.KnownWorker, error) {
+	var m pb.KnownWorker
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return briarspring.KnownWorker{}, &MalformedError{Input: "known worker", Cause: err}
+	}
+	return knownWorkerOf(&m), nil
+}
+
+func knownWorkerMessage(w briarspring.KnownWorker) *pb.KnownWorker {
+	return &pb.KnownWorker{Id: w.ID, Address: w.Address, Service: w.Service}
+}
+
+func knownWorkerOf(m *pb.KnownWorker) briarspring.KnownWorker {
+	return briarspring.KnownWorker{ID: m.Id, Address: m.Address, Service: m.Service}
+}
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"strings"
 
 	"briarspring"
 )
@@ -22,6 +23,16 @@
 	prefixInventory  = "i/"
 )
 
+// prefixKnownWorker is the prefix of workers' keys in progress streams. The other keys
+// there are IDs of workflows.
+const prefixKnownWorker = "w/"
+
+// KnownWorkerKey returns the key of a worker in a progress stream.
+func KnownWorkerKey(worker string) string { return prefixKnownWorker + worker }
+
+// IsKnownWorkerKey reports whether a key of a progress stream is a worker's.
+func IsKnownWorkerKey(key string) bool { return strings.HasPrefix(key, prefixKnownWorker) }
+
 // SubmissionKey returns the key of one attempt to submit a workflow.
 func SubmissionKey(id briarspring.WorkflowID, attempt string) string {
 	return prefixSubmission + string(id) + "/" + attempt
--- a/registrar/owner.go
+++ b/registrar/owner.go
@@ -73,7 +73,6 @@
 // Inventory is the recorded inventory of a data centre.
 type Inventory struct {
 	Content briarspring.Inventory
-	Version uint64 // Changes with the content.
 	// Overwritten is true if an earlier owner has written since, so that a host that
 	// reads the newest records would get its inventory.
 	Overwritten bool
@@ -95,7 +94,6 @@
 	v := r.inventories[dataCentre]
 	if v.Overwritten = content.Token < v.Content.Token; !v.Overwritten {
 		v.Content = content
-		v.Version++
 	}
 	r.inventories[dataCentre] = v
 	return nil
--- a/steward/takeover.go
+++ b/steward/takeover.go
@@ -13,53 +13,72 @@
 	"briarspring/tracker"
 )
 
+// recordedState is what earlier owners have recorded in the progress stream.
+type recordedState struct {
+	progress map[briarspring.WorkflowID][]briarspring.TaskProgress
+	workers  []briarspring.KnownWorker // All that they may have used.
+}
+
 // takeOver fences earlier owners off the progress stream and reads it.
-func (ow *ownership) takeOver(ctx context.Context) (map[briarspring.WorkflowID][]briarspring.TaskProgress, bool) {
+func (ow *ownership) takeOver(ctx context.Context) (recordedState, bool) {
 	stream := briarspring.ProgressStream(ow.config.DataCentre)
 	for ctx.Err() == nil && ow.inForce() {
-		progress, err := ow.tryTakeOver(ctx, stream)
+		state, err := ow.tryTakeOver(ctx, stream)
 		if err == nil {
-			return progress, true
+			return state, true
 		}
 		var fenced *briarspring.FencedError
 		if errors.As(err, &fenced) {
 			ow.logger.Warn("a newer owner has taken over the progress stream", "error", err)
-			return nil, false
+			return recordedState{}, false
 		}
 		ow.logger.Warn("failed to take over progress, retrying", "error", err)
 		_ = sleeper.For(ctx, retryPause)
 	}
-	return nil, false
+	return recordedState{}, false
 }
 
-func (ow *ownership) tryTakeOver(ctx context.Context, stream string) (map[briarspring.WorkflowID][]briarspring.TaskProgress, error) {
+func (ow *ownership) tryTakeOver(ctx context.Context, stream string) (recordedState, error) {
 	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	ow.fencedAt = ow.config.Now()
 	fence, err := ow.config.Store.Append(callCtx, stream, nil, ow.fence(0))
 	if err != nil {
-		return nil, err
+		return recordedState{}, err
 	}
 	records, end, err := tracker.Newest(ctx, ow.config.Store, stream)
 	if err != nil {
-		return nil, err
+		return recordedState{}, err
 	}
 	if end < fence {
-		return nil, &tracker.StaleError{Stream: stream, End: end, Known: fence}
+		return recordedState{}, &tracker.StaleError{Stream: stream, End: end, Known: fence}
 	}
-	progress := map[briarspring.WorkflowID][]briarspring.TaskProgress{}
+	state := recordedState{progress: map[briarspring.WorkflowID][]briarspring.TaskProgress{}}
 	for _, r := range records {
 		if len(r.Value) == 0 {
 			continue
 		}
-		tasks, err := encoder.DecodeRunProgress(r.Value)
-		if err != nil {
+		if err := state.add(r); err != nil {
 			ow.logger.Error("ignoring a progress record that can't be decoded", "key", r.Key, "offset", r.Offset, "error", err)
-			continue
 		}
-		progress[briarspring.WorkflowID(r.Key)] = tasks
 	}
-	return progress, nil
+	return state, nil
+}
+
+// add decodes a record. Errors are *encoder.MalformedError.
+func (s *recordedState) add(r briarspring.KeyedRecord) error {
+	if registrar.IsKnownWorkerKey(r.Key) {
+		w, err := encoder.DecodeKnownWorker(r.Value)
+		if err == nil {
+			s.workers = append(s.workers, w)
+		}
+		return err
+	}
+	tasks, err := encoder.DecodeRunProgress(r.Value)
+	if err == nil {
+		s.progress[briarspring.WorkflowID(r.Key)] = tasks
+	}
+	return err
 }
 
 func (ow *ownership) fence(sequence uint64) briarspring.Fence {
@@ -67,7 +86,7 @@
 }
 
 // startDispatcher creates the dispatcher with every workflow that has tasks here.
-func (ow *ownership) startDispatcher(progress map[briarspring.WorkflowID][]briarspring.TaskProgress) {
+func (ow *ownership) startDispatcher(recorded recordedState) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	now := ow.config.Now()
@@ -80,20 +99,21 @@
 	ow.engine.ProgressWritten(ow.fencedAt)
 	ow.engine.SetOutOfService(now, ow.config.Catalogue.OutOfService(ow.config.DataCentre))
 	ow.config.Replica.View(func(r *registrar.Registry) {
-		ow.addKnownWorkers(now, r)
-		r.Workflows(func(e *registrar.Entry) { ow.applyWorkflow(now, e, progress[e.Workflow().ID]) })
+		ow.addKnownWorkers(now, r, recorded.workers)
+		r.Workflows(func(e *registrar.Entry) { ow.applyWorkflow(now, e, recorded.progress[e.Workflow().ID]) })
 	})
 }
 
 // addKnownWorkers passes the workers that earlier owners may have used to the
-// dispatcher. If some of these owners did not record them, entries that are missing
-// from the list may come back first.
-func (ow *ownership) addKnownWorkers(now time.Duration, r *registrar.Registry) {
+// dispatcher. Owners of an earlier version recorded them in the inventory alone. If some
+// owners did not record them, entries that are missing from the list may come back first.
+func (ow *ownership) addKnownWorkers(now time.Duration, r *registrar.Registry, recorded []briarspring.KnownWorker) {
 	if ow.claim.Previous == 0 {
 		return
 	}
 	inventory, ok := r.Inventory(ow.config.DataCentre)
 	ow.engine.AddKnownWorkers(inventory.Content.Workers)
+	ow.engine.AddRecordedWorkers(recorded)
 	if !ok || !r.RecentOwnersYield(now, recentOwnerTime, ow.config.DataCentre) {
 		ow.engine.DelayInheritedStarts(ow.owner.readableSince() + entryReturnTime)
 	}
--- a/steward/term.go
+++ b/steward/term.go
@@ -113,12 +113,12 @@
 	ow.config.OnOwnership(true)
 	defer ow.config.OnOwnership(false)
 	ow.logger.Info("ownership started", "previous-token", ow.claim.Previous)
-	progress, ok := ow.takeOver(ctx)
+	recorded, ok := ow.takeOver(ctx)
 	if !ok {
 		return
 	}
-	ow.startDispatcher(progress)
-	ow.logger.Info("took over progress", "workflows", len(progress), "took-ms", (ow.config.Now() - ow.started).Milliseconds())
+	ow.startDispatcher(recorded)
+	ow.logger.Info("took over progress", "workflows", len(recorded.progress), "workers", len(recorded.workers), "took-ms", (ow.config.Now() - ow.started).Milliseconds())
 	var goroutines sync.WaitGroup
 	goroutines.Go(func() { ow.commitLoop(ctx) })
 	goroutines.Go(func() { ow.publishLoop(ctx) })
@@ -218,9 +218,6 @@
 		if inForce = r.Claim(ow.config.DataCentre).Token == ow.claim.Token; !inForce {
 			return
 		}
-		if v, ok := r.Inventory(ow.config.DataCentre); ok {
-			ow.engine.SetRecordedWorkers(v.Version, v.Content.Workers)
-		}
 		if at, ok := r.PredecessorsGoneAt(now, maxUnreachable, ow.config.DataCentre); ok {
 			ow.engine.SetPredecessorsGone(at)
 		}
