--- a/dispatcher/inventory.go
+++ b/dispatcher/inventory.go
@@ -90,6 +90,7 @@
 
 func (d *Dispatcher) addKnownWorker(k briarspring.KnownWorker) *worker {
 	w := d.worker(k.ID)
+	w.named = true
 	w.entry = briarspring.WorkerEntry{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: d.config.DataCentre}
 	return w
 }
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -21,7 +21,7 @@
 		return
 	}
 	for _, w := range d.workersByID {
-		switch asked := d.asks(w); {
+		switch asked := d.unasked(w) == ""; {
 		case asked && w.recordAddress != w.entry.Address:
 			k := briarspring.KnownWorker{ID: w.id, Address: w.entry.Address, Service: w.entry.Service}
 			value, err := encoder.EncodeKnownWorker(k)
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -35,6 +35,8 @@
 	unlistedAt time.Duration // When it left the list; zero while listed.
 	leavesAt   time.Duration // Earliest time at which it leaves; zero unless draining.
 	gone       bool          // Another process has its address.
+	named      bool          // The inventory of an earlier owner named it when the claim took effect.
+	asked      bool          // This owner has asked what it runs.
 	inherited  bool          // Known when the claim took effect, so an earlier owner may have used it.
 
 	recorded      bool   // Its record is in the progress stream, so that it may be used.
@@ -162,21 +164,13 @@
 func (d *Dispatcher) Workers() map[string]string {
 	list := map[string]string{}
 	for _, w := range d.workersByID {
-		if d.asks(w) {
+		if d.unasked(w) == "" {
 			list[w.id] = w.entry.Address
 		}
 	}
 	return list
 }
 
-// asks reports whether the worker's lease has to be renewed.
-func (d *Dispatcher) asks(w *worker) bool {
-	if w.entry.Address == "" || w.gone {
-		return false
-	}
-	return w.listed || len(w.runs) > 0 || w.hasUnstoredEnds() || w.inherited && !w.reported && !d.leaseEnded(w)
-}
-
 // hasUnstoredEnds reports whether the worker has reported ends that are not in the log
 // yet.
 func (w *worker) hasUnstoredEnds() bool { return w.lastEndSeen > w.lastEndStored }
@@ -225,6 +219,7 @@
 	task            *task
 	worker          *worker
 	state           runState
+	origin          runOrigin
 	since           time.Duration // When it was ordered.
 	startAnsweredAt time.Duration // When the start was answered, or counted as unanswered.
 	startBy         time.Duration // Deadline for carrying out the start, by the worker's clock.
