--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -10,8 +10,9 @@
 
 // Batch holds records that are stored together.
 type Batch struct {
-	Progress []briarspring.KeyedRecord // For the data centre's progress stream.
+	Progress []briarspring.KeyedRecord // For the data centre's progress stream, of workflows and workers.
 	ends     []endMark
+	workers  []recordMark
 	starts   []*run // Starts to send once the batch is stored.
 	dropped  []briarspring.WorkflowID
 }
@@ -33,16 +34,20 @@
 // nothing to store.
 func (d *Dispatcher) TakeBatch() (Batch, bool) {
 	var b Batch
+	d.takeWorkerRecords(&b)
 	for id, j := range d.dirty {
 		delete(d.dirty, id)
-		if j.finalPhaseStored || j.cancelled || j.transferredAway {
+		if why := j.skipped(); why != "" {
+			d.logUnrecorded(j, why)
 			continue
 		}
 		value, err := encoder.EncodeRunProgress(j.progress())
 		if err != nil {
 			d.logger.Error("encoding progress failed", "workflow", id, "error", err)
+			d.logUnrecorded(j, "progress can't be encoded")
 			continue
 		}
+		j.newEnds = nil
 		j.hasProgressRecord = true
 		b.Progress = append(b.Progress, briarspring.KeyedRecord{Key: string(id), Value: value})
 	}
@@ -57,7 +62,7 @@
 		b.dropped = append(b.dropped, id)
 	}
 	for _, w := range d.workersByID {
-		if w.lastEndSeen > w.lastEndStored {
+		if w.hasUnstoredEnds() {
 			b.ends = append(b.ends, endMark{worker: w, incarnation: w.incarnation, number: w.lastEndSeen})
 		}
 	}
@@ -94,6 +99,7 @@
 // Stored records that a batch is in the log. Workers may drop the ends that it
 // covers.
 func (d *Dispatcher) Stored(b Batch) {
+	d.workersStored(b)
 	for _, m := range b.ends {
 		if m.worker.incarnation == m.incarnation {
 			m.worker.lastEndStored = max(m.worker.lastEndStored, m.number)
@@ -107,6 +113,8 @@
 		switch {
 		case j == nil:
 		case j.removable():
+			// A job with the same ID may come before the next batch.
+			d.logUnrecorded(j, j.skipped())
 			delete(d.jobs, id)
 		default:
 			// Tasks were transferred back while the batch was being stored.
