Histories: long outages, single streams out of reach, entries that go away together

Hosts of real deployments lose the log for longer than a worker's entry lives, one stream of it, and their owner right afterwards. The histories had outages of 7 s of all streams at once, and entries that go away one by one.

--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -134,6 +134,28 @@
 		time.Sleep(h.randomDuration(6 * time.Second))
 		h.pool.SetLateEnds(0)
 	},
+	// Most or all workers lose their entries in an outage of this length.
+	"store-gone": func(h *history) {
+		h.storeFaultsFor(imitator.KeyedFaults{Silent: true}, 5*time.Second+h.randomDuration(7*time.Second))
+	},
+	"hush-progress": func(h *history) { h.hush(briarspring.ProgressStream(h.centres[h.random.IntN(len(h.centres))])) },
+	"hush-shared":   func(h *history) { h.hush(briarspring.SharedStream) },
+	"withhold-entries": func(h *history) {
+		length := 3*time.Second + h.randomDuration(9*time.Second)
+		for range 1 + h.random.IntN(workersPerCentre) {
+			id := h.randomWorker()
+			h.publisher.Withhold(id, true)
+			h.goroutines.Go(func() {
+				time.Sleep(length)
+				h.publisher.Withhold(id, false)
+			})
+		}
+	},
+	"kill-owner": func(h *history) {
+		if host, down := h.owner(h.centres[h.random.IntN(len(h.centres))]), h.randomDuration(5*time.Second); host != nil {
+			h.replace(host, func() { h.kill(host, down) })
+		}
+	},
 	"submit-crashing": func(h *history) { h.submitCrashing() },
 	"back":            func(h *history) { h.returnToService() },
 	"power":           func(h *history) { h.failPower() },
@@ -162,7 +184,8 @@
 
 // allActionNames also has the actions that were added later. The seeds in
 // regressions run with actionNames, so that they still choose the same actions.
-var allActionNames = append(slices.Clone(actionNames), "power", "replace-host", "replace-worker", "cut-links", "lost-orders", "late-ends", "withhold-entry")
+var allActionNames = append(slices.Clone(actionNames), "power", "replace-host", "replace-worker", "cut-links", "lost-orders", "late-ends", "withhold-entry",
+	"store-gone", "hush-progress", "hush-shared", "withhold-entries", "kill-owner", "kill-owner")
 
 const (
 	// powerFailureSubmissions workflows are submitted, at most maxSubmissionGap
@@ -266,11 +289,25 @@
 // storeFaults injects store faults for a while. The end of the faults also ends
 // cuts of single hosts.
 func (h *history) storeFaults(f imitator.KeyedFaults) {
+	h.storeFaultsFor(f, h.randomDuration(7*time.Second))
+}
+
+func (h *history) storeFaultsFor(f imitator.KeyedFaults, length time.Duration) {
 	if f.Latency == 0 {
 		f.Latency = 5 * time.Millisecond
 	}
 	h.store.SetFaults(f)
-	time.Sleep(h.randomDuration(7 * time.Second))
+	time.Sleep(length)
+	h.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+}
+
+// hush keeps a stream out of reach for a while, during which workflows are submitted.
+func (h *history) hush(stream string) {
+	h.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond, SilentStreams: map[string]bool{stream: true}})
+	for range 3 {
+		h.submitRandom()
+		time.Sleep(h.randomDuration(4 * time.Second))
+	}
 	h.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
 }
 
