Acknowledge an end only if a record covers it or nothing depends on it

What callers saw: nothing traced to this yet. Tests show that a task which is done starts again (three times in TestUnrecordedEnds) after its worker was allowed to drop the end.

Cause: an owner counted each end that it had heard as covered by the next batch, also if it didn't know the task (registry behind, or the job dropped after a transfer), if the task had moved to another data centre, whose owner never learnt of the end, or if a transfer was under way whose progress had been taken before. Such a batch has no records, so that it isn't even checked against the fence of the progress stream.

Ruled out: jobs that are final or cancelled (both are in the shared stream, and nothing of them starts again), and records that can't be encoded (their strings are checkpoints and ids out of JSON bodies, and numbers). An owner that is superseded in the log, but not yet on a worker, writes a record for each end of a task that it has, which the fence refuses; for the others it now acknowledges nothing that anybody depends on.

Change: the dispatcher holds ends `done` and `failed` of tasks that it doesn't know, that are being transferred or that have moved on, and acknowledges nothing from the first of them on. They are processed when the task becomes known here. The steward releases them when all that was stored before they were heard has been read and the workflow is removed or final, and records those of tasks elsewhere in the shared stream (key e/...), where the task's data centre takes them over.

A test of package dispatcher used an end `done` of an unknown task to fill a list that holds one; such an end has to wait now, so the filler is an end `stopped`, which needs no record. What the test checks is as before.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -57,8 +57,8 @@
 		b.dropped = append(b.dropped, id)
 	}
 	for _, w := range d.workersByID {
-		if w.lastEndSeen > w.lastEndStored {
-			b.ends = append(b.ends, endMark{worker: w, incarnation: w.incarnation, number: w.lastEndSeen})
+		if n := w.lastRecordable(); n > w.lastEndStored {
+			b.ends = append(b.ends, endMark{worker: w, incarnation: w.incarnation, number: n})
 		}
 	}
 	return b, len(b.Progress)+len(b.ends)+len(b.starts)+len(b.dropped) > 0
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -167,6 +167,7 @@
 	w.incarnation = reply.StartedAt
 	w.lastEndSeen = 0
 	w.lastEndStored = 0
+	w.held = nil
 	w.failureStreak = 0
 	// The restarted worker's clock starts anew, and a renewal computed with the
 	// earlier clock may have reached it, so its lease may be of any length up
@@ -179,6 +180,10 @@
 // handleEnd processes the end of a run.
 func (d *Dispatcher) handleEnd(w *worker, e briarspring.EndedTask) {
 	j := d.jobs[e.Run.Task.Workflow]
+	if d.mustHold(j, e) {
+		d.hold(w, e)
+		return
+	}
 	t := j.task(e.Run.Task)
 	if t == nil {
 		d.logger.Warn("end of a run of an unknown task", "worker", w.id, "workflow", e.Run.Task.Workflow, "step", e.Run.Task.Step, "index", e.Run.Task.Index)
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -239,6 +239,7 @@
 	for _, p := range progress {
 		d.restoreProgress(j, p)
 	}
+	d.resumeEnds(w.ID)
 	d.updatePhase(j)
 }
 
--- a/dispatcher/missing_test.go
+++ b/dispatcher/missing_test.go
@@ -62,7 +62,7 @@
 		s.maxListedEnds = 1
 		w := s.workers["w0"]
 		w.startedAt, w.bornAt = 2, s.now-time.Second
-		s.endRun("w0", briarspring.RunRef{Task: briarspring.TaskRef{Workflow: "gone"}, Run: 1}, briarspring.RunDone)
+		s.endRun("w0", briarspring.RunRef{Task: briarspring.TaskRef{Workflow: "gone"}, Run: 1}, briarspring.RunStopped)
 		s.endRun("w0", run, briarspring.RunDone)
 		assert.Empty(t, s.advance(5*time.Second))
 		assert.Equal(t, uint64(1), s.d.Counters().Completed)
--- a/dispatcher/transfer.go
+++ b/dispatcher/transfer.go
@@ -222,5 +222,6 @@
 	j.setPlaces(place)
 	d.needsPlan = true
 	d.logger.Info("tasks transferred", "workflow", id, "tasks", moved, "arrived", arrived, "away", j.transferredAway)
+	d.resumeEnds(id)
 	d.updatePhase(j)
 }
--- a/dispatcher/unrecorded_test.go
+++ b/dispatcher/unrecorded_test.go
@@ -132,3 +132,32 @@
 	assert.Equal(t, dispatcher.OrderStop, orders[0].Kind, "the new process has not refused the start yet")
 	assert.Equal(t, start.Run(), orders[0].Run())
 }
+
+// Guards against a task that starts, or goes on, although its run in the data centre that
+// it came from is done.
+func TestEndsFromElsewhere(t *testing.T) {
+	done := map[int]briarspring.TaskProgress{0: {Done: true, Run: 1}}
+	failed := map[int]briarspring.TaskProgress{0: {FailedRuns: []uint32{1}, Run: 1}}
+	t.Run("end the run here", func(t *testing.T) {
+		s, run := startOne(t, step(1, 1000))
+		s.d.ApplyEnds(s.now, "a", done)
+		assert.Empty(t, starts(s.advance(time.Second)))
+		assert.NotContains(t, s.workers["w0"].running, run)
+		assert.Equal(t, uint64(1), s.d.Counters().Completed)
+	})
+	t.Run("count as failures once", func(t *testing.T) {
+		s, run := startOne(t, step(1, 1000))
+		s.d.ApplyEnds(s.now, "a", failed)
+		s.d.ApplyEnds(s.now, "a", failed)
+		s.endRun("w0", run, briarspring.RunFailed)
+		assert.Equal(t, 1, countRuns(starts(s.advance(100*time.Millisecond))), "one of three runs has failed")
+	})
+	t.Run("don't count for tasks that are not here", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("a", longRunning(2, 1000)), 5, nil, func(position int) dispatcher.Place {
+			return dispatcher.Place{Local: position == 1, Transfers: 1}
+		})
+		s.d.ApplyEnds(s.now, "a", done)
+		assert.Equal(t, 1, countRuns(starts(s.advance(400*time.Millisecond))))
+	})
+}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -51,6 +51,7 @@
 	startedSince  time.Duration // When its present incarnation first answered.
 	lastEndSeen   uint64        // Highest number of an end that was processed.
 	lastEndStored uint64        // Highest number of an end that is in the log.
+	held          []HeldEnd     // By number.
 	moreEnds      bool          // The last reply may lack ends.
 	renewalFailed bool          // The next renewal must not acknowledge ends.
 
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -20,6 +20,7 @@
 	prefixRetire     = "q/"
 	prefixModel      = "p/"
 	prefixInventory  = "i/"
+	prefixEnd        = "e/"
 )
 
 // SubmissionKey returns the key of one attempt to submit a workflow.
@@ -42,6 +43,14 @@
 	return prefixTransfer + string(id) + "/" + strconv.FormatUint(token, 10) + "." + strconv.Itoa(number) + "/" + attempt
 }
 
+// EndKey returns the key of the end of a run whose task has moved to another data
+// centre.
+func EndKey(run briarspring.RunRef) string {
+	t := run.Task
+	return prefixEnd + string(t.Workflow) + "/" + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index) +
+		"." + strconv.FormatUint(uint64(run.Run), 10)
+}
+
 // ClaimKey returns the key of one attempt to claim a data centre.
 func ClaimKey(dataCentre, attempt string) string { return prefixClaim + dataCentre + "/" + attempt }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -24,6 +24,7 @@
 	transferred map[int]TransferredTask
 	keys        []string        // Keys of its submission and transfer records.
 	transfers   map[string]bool // Applied transfers, by token and number.
+	ends        map[int]briarspring.TaskProgress
 }
 
 // TransferredTask is the data centre that a task was transferred to, and the
@@ -216,6 +217,8 @@
 		return r.applyPhase(now, briarspring.WorkflowID(rest), rec)
 	case prefixTransfer:
 		return r.applyTransfer(rest, rec)
+	case prefixEnd:
+		return r.applyEnd(workflowIDOf(rest), rec)
 	case prefixClaim:
 		return r.applyClaim(now, rec)
 	case prefixHeartbeat:
--- a/steward/commit.go
+++ b/steward/commit.go
@@ -169,25 +169,26 @@
 }
 
 // publish writes records and retries until they are stored. The records must be
-// idempotent.
-func (ow *ownership) publish(ctx context.Context, records []briarspring.KeyedRecord) {
-	ow.publishRebuilt(ctx, func() []briarspring.KeyedRecord { return records })
+// idempotent. It returns false if the context ended first.
+func (ow *ownership) publish(ctx context.Context, records []briarspring.KeyedRecord) (stored bool) {
+	return ow.publishRebuilt(ctx, func() []briarspring.KeyedRecord { return records })
 }
 
 // publishRebuilt writes records and retries until they are stored, rebuilding
 // them for each attempt.
-func (ow *ownership) publishRebuilt(ctx context.Context, build func() []briarspring.KeyedRecord) {
+func (ow *ownership) publishRebuilt(ctx context.Context, build func() []briarspring.KeyedRecord) (stored bool) {
 	for ctx.Err() == nil {
 		records := build()
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 		err := ow.config.Shared.Write(callCtx, records...)
 		cancel()
 		if err == nil {
-			return
+			return true
 		}
 		ow.logger.Debug("failed to write to the shared stream, retrying", "records", len(records), "error", err)
 		_ = sleeper.For(ctx, retryPause)
 	}
+	return false
 }
 
 // changedInventory returns the record of the data centre's inventory if the log has
--- a/steward/takeover.go
+++ b/steward/takeover.go
@@ -123,6 +123,9 @@
 	default:
 		ow.engine.Submit(now, ow.ageOf(w), w, e.Offset(), ow.mergeTransferred(e, progress), place)
 	}
+	if ends := e.Ends(); len(ends) > 0 {
+		ow.engine.ApplyEnds(now, w.ID, ends)
+	}
 	if e.Cancelled() {
 		ow.engine.Cancel(now, w.ID)
 	}
--- a/steward/term.go
+++ b/steward/term.go
@@ -83,6 +83,8 @@
 	pacer    Pacer
 	renewers map[string]*leaseRenewer
 	stored   chan struct{} // Closed and replaced when a batch is stored.
+	// reporting holds the ends that are being recorded for other data centres.
+	reporting map[dispatcher.HeldEnd]bool
 }
 
 func newOwnership(o *Owner, claim registrar.Claim) *ownership {
@@ -91,6 +93,7 @@
 		started: o.config.Now(), ended: make(chan struct{}), halt: make(chan struct{}),
 		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), phases: make(chan struct{}, 1), listed: make(chan struct{}, 1),
 		orderSlots: make(chan struct{}, maxOrders), renewers: map[string]*leaseRenewer{}, stored: make(chan struct{}),
+		reporting: map[dispatcher.HeldEnd]bool{},
 	}
 }
 
@@ -173,6 +176,7 @@
 			ow.logger.Info("claim was replaced")
 			return
 		}
+		ow.settleEnds(ctx, goroutines)
 		if now-listedAt >= listInterval {
 			listedAt = now
 			ow.applyWorkerList(ctx, now, goroutines)
--- a/workflow.go
+++ b/workflow.go
@@ -107,6 +107,19 @@
 	return n * w.Occurrences()
 }
 
+// Position returns the index of a task across all steps of all occurrences, or false if
+// there is no such task.
+func (w *Workflow) Position(t TaskRef) (int, bool) {
+	if t.Occurrence < 0 || t.Occurrence >= w.Occurrences() || t.Step < 0 || t.Step >= len(w.Steps) {
+		return 0, false
+	}
+	position := t.Occurrence * (w.TaskCount() / w.Occurrences())
+	for _, s := range w.Steps[:t.Step] {
+		position += s.Tasks
+	}
+	return position + t.Index, t.Index >= 0 && t.Index < w.Steps[t.Step].Tasks
+}
+
 // Occurrences returns the number of times that the steps run.
 func (w *Workflow) Occurrences() int { return max(1, w.Recurrence.Times) }
 
--- a/workflow_test.go
+++ b/workflow_test.go
@@ -38,3 +38,23 @@
 		})
 	}
 }
+
+// Guards against positions that differ from the order of tasks in progress records.
+func TestPosition(t *testing.T) {
+	w := &briarspring.Workflow{Steps: []briarspring.Step{{Tasks: 2}, {Tasks: 3}}, Recurrence: briarspring.Recurrence{Times: 2}}
+	want := 0
+	for occurrence := range 2 {
+		for step, s := range w.Steps {
+			for index := range s.Tasks {
+				got, ok := w.Position(briarspring.TaskRef{Occurrence: occurrence, Step: step, Index: index})
+				assert.True(t, ok)
+				assert.Equal(t, want, got)
+				want++
+			}
+		}
+	}
+	for _, ref := range []briarspring.TaskRef{{Occurrence: 2}, {Occurrence: -1}, {Step: 2}, {Step: -1}, {Index: 2}, {Index: -1}} {
+		_, ok := w.Position(ref)
+		assert.False(t, ok, ref)
+	}
+}
