Stop a run that appears again after its task was transferred

What callers saw: nothing traced to this. A run of a long-running workflow that had been given up and was listed again went on beside the one in the data centre that had its task by then, if other tasks of the workflow had stayed.

Cause: a run was stopped if its task was done or its workflow had no tasks here any more, not if that task alone had moved.

--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -279,8 +279,8 @@
 	d.settle(r)
 	r.usage = listed.Usage
 	r.usageAt = d.now
-	if r.task.done || r.task.step.job.inactive() {
-		d.stop(r, "task finished or workflow ended")
+	if r.task.done || !r.task.local || r.task.step.job.inactive() {
+		d.stop(r, "task finished or moved, or workflow ended")
 	}
 	if r.stopping && d.now-r.stopSentAt > stopRetryInterval {
 		d.sendStop(r)
