Stop a start in doubt again when its worker has restarted

What callers saw: nothing traced to this. A start was not answered, the stop after it was, and the worker then started again under its id. Its owner took the run for prevented and started the next one, although a start that is carried out late may reach the new process: it has seen no stop, its clock has not reached the deadline, and the id in the call is its own.

Cause: the answer of the earlier process was kept for the new one.

Ruled out: starts that were answered (they were carried out before the restart). The stand-ins lose what a worker has received when it restarts, so that no history shows this.

--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -161,6 +161,10 @@
 	w.suspects = nil
 	w.startedSince = d.now
 	if !first {
+		for _, r := range w.runs {
+			// A start may still reach the new process, which knows of no stop.
+			r.stopSentAt, r.stopAnsweredAt = 0, 0
+		}
 		// Its clock counts from its start and may be slow.
 		w.bornAfter = sent - time.Duration(float64(reply.Clock)*(1+clockSkew)) - leaseMargin
 	}
