--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -92,6 +92,7 @@
 	predecessorsGone   bool                     // No earlier owner gives orders any more.
 	predecessorsGoneAt time.Duration            // When that became known.
 	predecessorsYield  bool                     // Those that may still give orders yield.
+	renamed            bool                     // Some of them are gone by their names only.
 	progressWrittenAt  time.Duration            // When the last successful append of progress was sent.
 	mostFencedAt       time.Duration            // When most inherited workers had accepted the token; zero before.
 	recorded           map[string]string        // Addresses of the workers that the inventory in the log names, by ID.
