Count the time that a run is missing by its worker's clock

Cause: a run counted as lost 1.5 s (0.3 s if its start had no answer) after the owner had processed the first list without it, and a worker's report to a new owner as complete 0.1 s after the first. An owner that processes the next answer late, on a busy machine or after it was stopped for a moment, took the delay for time in which the worker had listed nothing: two lists of nearly the same moment were enough.

Change: these times are differences of the worker's clock between its answers. They start anew when it restarts. A new owner's second renewal waits 5 ms longer, as clocks may be 2% slow.

--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -17,7 +17,8 @@
 	unansweredDelay = 250 * time.Millisecond
 	// missingTime is how long a run that its worker had accepted must be missing from the
 	// worker's lists until it counts as lost: the worker may list its end a moment after
-	// it has left the list of what runs.
+	// it has left the list of what runs. This and the next two count by the worker's
+	// clock, since answers may be processed late.
 	missingTime = 1500 * time.Millisecond
 	// unstartedTime is the same for a start that was not answered and that can't take
 	// effect any more. The run may have been alive until it was stopped.
@@ -25,6 +26,8 @@
 	// reportTime is how long after its first answer to a new owner a worker is heard
 	// until its report counts as complete, for the same reason.
 	reportTime = 100 * time.Millisecond
+	// reportSlack makes up for a slow clock and for readings in whole milliseconds.
+	reportSlack = 5 * time.Millisecond
 	// stopRetryInterval is the time after which a stop without effect is sent
 	// again; above the longest stated stop time of 0.9 s.
 	stopRetryInterval = 1200 * time.Millisecond
@@ -44,7 +47,7 @@
 	}
 	req.Wait = w.renewalWait()
 	if w.inherited && !w.reported {
-		req.Wait = reportTime
+		req.Wait = reportTime + reportSlack
 	}
 	if w.renewalFailed {
 		// Extending the lease without an answer would keep it from ever ending.
@@ -106,7 +109,7 @@
 	if !w.fenced {
 		d.logger.Info("worker accepted this owner's token", "worker", w.id, "token", d.config.Token, "running", len(reply.Running), "ended", len(reply.Ended))
 		d.needsPlan = true
-		w.fencedAt = now
+		w.fencedAt, w.heardSince = now, reply.Clock
 	}
 	w.fenced = true
 	w.clock = reply.Clock
@@ -134,7 +137,7 @@
 		d.handleRunning(w, sent, t)
 	}
 	d.checkUnlisted(w, sent, listed)
-	if !w.reported && !w.moreEnds && now-w.fencedAt >= reportTime {
+	if !w.reported && !w.moreEnds && w.clock-w.heardSince >= reportTime {
 		w.reported = true
 		d.needsPlan = true
 	}
@@ -160,6 +163,10 @@
 	}
 	w.suspects = nil
 	w.startedSince = d.now
+	w.heardSince = reply.Clock
+	for _, r := range w.runs {
+		r.missingSince = 0
+	}
 	if !first {
 		for _, r := range w.runs {
 			// A start may still reach the new process, which knows of no stop.
@@ -350,10 +357,10 @@
 			continue
 		}
 		if r.startAnsweredAt < sent && r.missingSince == 0 {
-			r.missingSince = d.now
+			r.missingSince = max(w.clock, 1)
 			r.unreported = r.state == runAlive
 		}
-		missing := d.now - r.missingSince
+		missing := w.clock - r.missingSince
 		if r.missingSince == 0 || w.moreEnds {
 			missing = 0
 		}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -45,6 +45,7 @@
 	leaseUntil    time.Duration // Latest lease deadline ever sent, by the worker's clock.
 	answeredAt    time.Duration
 	fencedAt      time.Duration // When it first answered.
+	heardSince    time.Duration // The worker's clock in its first answer in its present incarnation.
 	reported      bool          // Has listed everything that runs or has ended under earlier owners.
 	bornAfter     time.Duration // Earliest start of its present incarnation; zero for the first one known.
 	acceptedAt    time.Duration // When the last renewal that it accepted was sent.
@@ -218,7 +219,7 @@
 	startAnsweredAt time.Duration // When the start was answered, or counted as unanswered.
 	startBy         time.Duration // Deadline for carrying out the start, by the worker's clock.
 	listed          bool          // Was in a list of running tasks.
-	missingSince    time.Duration // Since when it is in neither list of its worker; zero for listed.
+	missingSince    time.Duration // Since when, by the worker's clock, it is in neither list; zero for listed.
 	unreported      bool          // Is not in the list of running tasks any more, and its end may not be listed yet.
 	settled         bool          // Was in such a list settleTime after its start.
 	stopping        bool
