--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -50,8 +50,7 @@
 
 // hold holds an end. Its run is over in any case.
 func (d *Dispatcher) hold(w *worker, e briarspring.EndedTask) {
-	d.logger.Info("end waits for its task", "worker", w.id, "workflow", e.Run.Task.Workflow, "step", e.Run.Task.Step,
-		"index", e.Run.Task.Index, "run", e.Run.Run, "end", e.End.String(), "number", e.Number)
+	d.logHeldEnd(w, e)
 	w.held = append(w.held, HeldEnd{
 		Worker: w.id, Run: e.Run, Done: e.End == briarspring.RunDone, At: d.now, end: e, incarnation: w.incarnation,
 	})
--- a/steward/term.go
+++ b/steward/term.go
@@ -78,6 +78,8 @@
 	listed     chan struct{} // Makes publishLoop publish the inventory.
 	orderSlots chan struct{} // Limits the orders in flight.
 
+	inventory []briarspring.KnownWorker // Workers of the last inventory; used by publishLoop alone.
+
 	mu       sync.Mutex
 	engine   *dispatcher.Dispatcher
 	pacer    Pacer
@@ -116,12 +118,12 @@
 	ow.config.OnOwnership(true)
 	defer ow.config.OnOwnership(false)
 	ow.logger.Info("ownership started", "previous-token", ow.claim.Previous)
-	progress, ok := ow.takeOver(ctx)
+	recorded, ok := ow.takeOver(ctx)
 	if !ok {
 		return
 	}
-	ow.startDispatcher(progress)
-	ow.logger.Info("took over progress", "workflows", len(progress), "took-ms", (ow.config.Now() - ow.started).Milliseconds())
+	ow.startDispatcher(recorded)
+	ow.logger.Info("took over progress", "workflows", len(recorded.progress), "workers", len(recorded.workers), "took-ms", (ow.config.Now() - ow.started).Milliseconds())
 	var goroutines sync.WaitGroup
 	goroutines.Go(func() { ow.commitLoop(ctx) })
 	goroutines.Go(func() { ow.publishLoop(ctx) })
@@ -222,9 +224,6 @@
 		if inForce = r.Claim(ow.config.DataCentre).Token == ow.claim.Token; !inForce {
 			return
 		}
-		if v, ok := r.Inventory(ow.config.DataCentre); ok {
-			ow.engine.SetRecordedWorkers(v.Version, v.Content.Workers)
-		}
 		if at, ok := r.PredecessorsGoneAt(now, maxUnreachable, ow.config.DataCentre); ok {
 			ow.engine.SetPredecessorsGone(at)
 		}
