dispatcher: a start without an answer is lost only after it could not start for a while

Callers saw a task start again after its run had ended as done, and the end was acknowledged after that.

Cause: the time for which such a run must be missing counted from the first list without it after the start had failed, although it could still start. With lists that are far apart, one list after the deadline was enough.

The time now counts from the first list that shows that the start can't be carried out any more, by its deadline or by a stop. Ruled out for this case: the takeover (one token throughout) and lists cut short (two ends).

TestLateStartWithLateEnd failed before.

--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -361,7 +361,7 @@
 		if listed[ref] || r.state == runOrdered {
 			continue
 		}
-		if r.startAnsweredAt < sent && r.missingSince == 0 {
+		if r.missingSince == 0 && r.startAnsweredAt < sent && (r.state != runUnanswered || w.prevents(r, sent)) {
 			r.missingSince = max(w.clock, 1)
 			r.unreported = r.state == runAlive
 		}
@@ -371,7 +371,7 @@
 		}
 		switch {
 		case r.state == runUnanswered:
-			d.checkUnstarted(w, r, sent, missing >= unstartedTime)
+			d.checkUnstarted(r, missing >= unstartedTime)
 		case r.state == runUnknown && w.clock < d.config.MaxLease && missing >= unstartedTime:
 			// The worker has restarted since its last renewal by the earlier owner.
 			d.suspect(r)
@@ -386,13 +386,20 @@
 	}
 }
 
+// prevents reports whether a list that was requested at sent shows that an unanswered
+// start can't be carried out any more.
+func (w *worker) prevents(r *run, sent time.Duration) bool {
+	return r.stopAnsweredAt != 0 && r.stopAnsweredAt < sent || w.clock > r.startBy+leaseMargin
+}
+
 // checkUnstarted handles a run whose start was not answered and that its worker does
-// not list. It is lost once that is sure and it can't start any more.
-func (d *Dispatcher) checkUnstarted(w *worker, r *run, sent time.Duration, sure bool) {
+// not list. It is lost once it has been missing for long enough since it could have
+// started.
+func (d *Dispatcher) checkUnstarted(r *run, sure bool) {
 	switch {
-	case sure && r.stopAnsweredAt != 0 && r.stopAnsweredAt < sent:
+	case sure && r.stopAnsweredAt != 0:
 		d.markLost(r, "stopped before it started")
-	case sure && w.clock > r.startBy+leaseMargin && r.startAnsweredAt < sent:
+	case sure:
 		d.markLost(r, "start order expired")
 	case !r.stopping && d.now-r.startAnsweredAt > unansweredDelay:
 		d.stop(r, "start was not answered")
