--- a/imitator/keyed.go
+++ b/imitator/keyed.go
@@ -18,6 +18,7 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	faults   KeyedFaults
+	outages  map[*StreamOutage]bool
 	streams  map[string]*keyedStream
 	pageSize int // Maximum number of records in an answer of Newest.
 	calls    int
@@ -72,6 +73,7 @@
 	newest        map[string]briarspring.KeyedRecord
 	epoch         uint64
 	sequence      uint64
+	writer        string            // Caller of the last fenced append.
 	endBySequence map[uint64]uint64 // Answers to the appends of this epoch, for repeats.
 	appended      chan struct{}
 }
@@ -79,7 +81,10 @@
 // NewKeyedStore returns an empty store. The seed determines which answers are
 // lost.
 func NewKeyedStore(seed uint64) *KeyedStore {
-	return &KeyedStore{random: rand.New(rand.NewPCG(seed, seed)), streams: map[string]*keyedStream{}, pageSize: defaultPageSize}
+	return &KeyedStore{
+		random: rand.New(rand.NewPCG(seed, seed)), outages: map[*StreamOutage]bool{}, streams: map[string]*keyedStream{},
+		pageSize: defaultPageSize,
+	}
 }
 
 // Calls returns the number of calls so far, refused ones included.
@@ -93,7 +98,7 @@
 func (s *KeyedStore) reachable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.faults.Down && !s.faults.Silent
+	return !s.faults.Down && !s.faults.Silent && s.outageOf("", briarspring.WorkersStream) == nil
 }
 
 // SetPageSize sets the maximum number of records in an answer of Newest.
@@ -176,7 +181,7 @@
 }
 
 // simulateFaults waits for the latency and fails as the injected faults require.
-func (c *KeyedClient) simulateFaults(ctx context.Context, call string) error {
+func (c *KeyedClient) simulateFaults(ctx context.Context, call, stream string) error {
 	c.store.mu.Lock()
 	c.store.calls++
 	f := c.store.faults
@@ -192,16 +197,16 @@
 	if f.Down {
 		return &briarspring.NotExecutedError{Call: call, Reason: "the store is down"}
 	}
-	return nil
+	return c.meetOutage(ctx, call, stream)
 }
 
 // deliver fails if the answer to a call can't reach the caller any more.
-func (c *KeyedClient) deliver(ctx context.Context, call string) error {
+func (c *KeyedClient) deliver(ctx context.Context, call, stream string) error {
 	c.store.mu.Lock()
 	blocked := c.store.faults.Silent || c.store.faults.CutCallers[c.caller]
 	c.store.mu.Unlock()
 	if !blocked {
-		return nil
+		return c.meetOutage(ctx, call, stream)
 	}
 	<-ctx.Done()
 	return &briarspring.NoAnswerError{Call: call, Cause: ctx.Err()}
@@ -215,7 +220,7 @@
 
 // Append adds records to a stream and returns the offset after them.
 func (c *KeyedClient) Append(ctx context.Context, stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (uint64, error) {
-	if err := c.simulateFaults(ctx, "append"); err != nil {
+	if err := c.simulateFaults(ctx, "append", stream); err != nil {
 		return 0, err
 	}
 	if err := checkSize(records); err != nil {
@@ -230,13 +235,13 @@
 	if late {
 		go func() {
 			time.Sleep(delay)
-			_, _ = s.append(stream, records, fence)
+			_, _ = s.append(c.caller, stream, records, fence)
 		}()
 	}
 	var next uint64
 	var err error
 	if !late {
-		next, err = s.append(stream, records, fence)
+		next, err = s.append(c.caller, stream, records, fence)
 	}
 	if lost {
 		<-ctx.Done()
@@ -245,7 +250,7 @@
 	return next, err
 }
 
-func (s *KeyedStore) append(stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (uint64, error) {
+func (s *KeyedStore) append(caller, stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(stream)
@@ -256,6 +261,7 @@
 	}
 	st.add(records)
 	if fence.Epoch > 0 {
+		st.writer = caller
 		st.endBySequence[fence.Sequence] = st.end
 		delete(st.endBySequence, fence.Sequence-repeatedAppends)
 	}
@@ -285,7 +291,7 @@
 // Read returns the records starting at an offset. It waits up to wait for the
 // first one.
 func (c *KeyedClient) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (briarspring.KeyedPage, error) {
-	if err := c.simulateFaults(ctx, "read"); err != nil {
+	if err := c.simulateFaults(ctx, "read", stream); err != nil {
 		return briarspring.KeyedPage{}, err
 	}
 	timer := time.NewTimer(wait)
@@ -296,12 +302,12 @@
 			return page, err
 		}
 		if len(page.Records) > 0 {
-			return page, c.deliver(ctx, "read")
+			return page, c.deliver(ctx, "read", stream)
 		}
 		select {
 		case <-appended:
 		case <-timer.C:
-			return page, c.deliver(ctx, "read")
+			return page, c.deliver(ctx, "read", stream)
 		case <-ctx.Done():
 			return briarspring.KeyedPage{}, &briarspring.NoAnswerError{Call: "read", Cause: ctx.Err()}
 		}
@@ -329,7 +335,7 @@
 // Newest returns the newest records of the keys greater than after, sorted by
 // key, and whether there are more.
 func (c *KeyedClient) Newest(ctx context.Context, stream, after string) (briarspring.KeyedPage, bool, error) {
-	if err := c.simulateFaults(ctx, "newest"); err != nil {
+	if err := c.simulateFaults(ctx, "newest", stream); err != nil {
 		return briarspring.KeyedPage{}, false, err
 	}
 	c.store.mu.Lock()
