--- a/imitator/keyed.go
+++ b/imitator/keyed.go
@@ -18,6 +18,7 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	faults   KeyedFaults
+	outages  map[*StreamOutage]bool
 	streams  map[string]*keyedStream
 	pageSize int // Maximum number of records in an answer of Newest.
 	calls    int
@@ -73,6 +74,7 @@
 	newest        map[string]briarspring.KeyedRecord
 	epoch         uint64
 	sequence      uint64
+	writer        string            // Caller of the last fenced append.
 	endBySequence map[uint64]uint64 // Answers to the appends of this epoch, for repeats.
 	appended      chan struct{}
 }
@@ -80,7 +82,10 @@
 // NewKeyedStore returns an empty store. The seed determines which answers are
 // lost.
 func NewKeyedStore(seed uint64) *KeyedStore {
-	return &KeyedStore{random: rand.New(rand.NewPCG(seed, seed)), streams: map[string]*keyedStream{}, pageSize: defaultPageSize}
+	return &KeyedStore{
+		random: rand.New(rand.NewPCG(seed, seed)), outages: map[*StreamOutage]bool{}, streams: map[string]*keyedStream{},
+		pageSize: defaultPageSize,
+	}
 }
 
 // Calls returns the number of calls so far, refused ones included.
@@ -94,7 +99,7 @@
 func (s *KeyedStore) reachable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.faults.Down && !s.faults.Silent
+	return !s.faults.Down && !s.faults.Silent && s.outageOf("", briarspring.WorkersStream) == nil
 }
 
 // SetPageSize sets the maximum number of records in an answer of Newest.
@@ -193,7 +198,7 @@
 	if f.Down {
 		return &briarspring.NotExecutedError{Call: call, Reason: "the store is down"}
 	}
-	return nil
+	return c.meetOutage(ctx, call, stream)
 }
 
 // deliver fails if the answer to a call can't reach the caller any more.
@@ -203,7 +208,7 @@
 	blocked := f.Silent || f.CutCallers[c.caller] || f.SilentStreams[stream]
 	c.store.mu.Unlock()
 	if !blocked {
-		return nil
+		return c.meetOutage(ctx, call, stream)
 	}
 	<-ctx.Done()
 	return &briarspring.NoAnswerError{Call: call, Cause: ctx.Err()}
@@ -232,13 +237,13 @@
 	if late {
 		go func() {
 			time.Sleep(delay)
-			_, _ = s.append(stream, records, fence)
+			_, _ = s.append(c.caller, stream, records, fence)
 		}()
 	}
 	var next uint64
 	var err error
 	if !late {
-		next, err = s.append(stream, records, fence)
+		next, err = s.append(c.caller, stream, records, fence)
 	}
 	if lost {
 		<-ctx.Done()
@@ -247,7 +252,7 @@
 	return next, err
 }
 
-func (s *KeyedStore) append(stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (uint64, error) {
+func (s *KeyedStore) append(caller, stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(stream)
@@ -258,6 +263,7 @@
 	}
 	st.add(records)
 	if fence.Epoch > 0 {
+		st.writer = caller
 		st.endBySequence[fence.Sequence] = st.end
 		delete(st.endBySequence, fence.Sequence-repeatedAppends)
 	}
