--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -303,12 +303,12 @@
 
 // hush keeps a stream out of reach for a while, during which workflows are submitted.
 func (h *history) hush(stream string) {
-	h.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond, SilentStreams: map[string]bool{stream: true}})
+	end := h.store.BeginOutage(imitator.StreamOutage{Stream: stream, Silent: true})
+	defer end()
 	for range 3 {
 		h.submitRandom()
 		time.Sleep(h.randomDuration(4 * time.Second))
 	}
-	h.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
 }
 
 func (h *history) returnToService() {
--- a/assembler/host_workflows_test.go
+++ b/assembler/host_workflows_test.go
@@ -158,7 +158,7 @@
 		task, other := shortStep(1), shortStep(1)
 		task.Estimate, other.Estimate = 7*time.Second, 25*time.Second
 		task.Resources, other.Resources = cores(workerCPU), cores(workerCPU) // One to a worker.
-		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond, SilentStreams: map[string]bool{briarspring.ProgressStream(tartu): true}})
+		end := f.store.BeginOutage(imitator.StreamOutage{Stream: briarspring.ProgressStream(tartu), Silent: true})
 		f.submit(id, task, other)
 		time.Sleep(300 * time.Millisecond)
 		first := briarspring.TaskRef{Workflow: id}
@@ -167,7 +167,7 @@
 		time.Sleep(8 * time.Second)
 		require.Zero(t, f.pool.Running(first))
 		go f.kill(f.owner(tartu), time.Second)
-		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+		end()
 		time.Sleep(2 * time.Second)
 		f.publisher.Withhold(only, false)
 		assertPhase(t, f, id, briarspring.PhaseCompleted, 30*time.Second)
@@ -185,7 +185,7 @@
 			f.pool.Add(e)
 		}
 		time.Sleep(3 * time.Second)
-		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond, SilentStreams: map[string]bool{briarspring.ProgressStream(tartu): true}})
+		end := f.store.BeginOutage(imitator.StreamOutage{Stream: briarspring.ProgressStream(tartu), Silent: true})
 		task := shortStep(1)
 		task.Estimate, task.Requirement = 25*time.Second, "large"
 		f.submit(id, task)
@@ -196,7 +196,7 @@
 		for i := range hostsPerCentre {
 			go f.kill(f.host(tartu, i), time.Second)
 		}
-		f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
+		end()
 		assertPhase(t, f, id, briarspring.PhaseCompleted, 40*time.Second)
 		assertNoViolations(t, f)
 	}, tartu)
--- a/imitator/keyed.go
+++ b/imitator/keyed.go
@@ -64,7 +64,6 @@
 	LostAnswerShare float64       // Share of appends that get no answer.
 	LateAppendShare float64       // Share of those that are carried out seconds later.
 	CutCallers      map[string]bool
-	SilentStreams   map[string]bool // Streams whose calls get no answer.
 }
 
 type keyedStream struct {
@@ -186,7 +185,7 @@
 	c.store.mu.Lock()
 	c.store.calls++
 	f := c.store.faults
-	cut := f.CutCallers[c.caller] || f.SilentStreams[stream]
+	cut := f.CutCallers[c.caller]
 	c.store.mu.Unlock()
 	if cut || f.Silent {
 		<-ctx.Done()
@@ -204,8 +203,7 @@
 // deliver fails if the answer to a call can't reach the caller any more.
 func (c *KeyedClient) deliver(ctx context.Context, call, stream string) error {
 	c.store.mu.Lock()
-	f := c.store.faults
-	blocked := f.Silent || f.CutCallers[c.caller] || f.SilentStreams[stream]
+	blocked := c.store.faults.Silent || c.store.faults.CutCallers[c.caller]
 	c.store.mu.Unlock()
 	if !blocked {
 		return c.meetOutage(ctx, call, stream)
