--- a/steward/stale_knowledge_test.go
+++ b/steward/stale_knowledge_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"briarspring"
+	"briarspring/dispatcher"
 	"briarspring/encoder"
 	"briarspring/pacer"
 	"briarspring/registrar"
@@ -53,3 +54,29 @@
 	ow.engine.SetWorkers(now(), nil)
 	assert.Equal(t, map[string]string{"w0": "a:2"}, ow.engine.Workers())
 }
+
+// Guards against a host that hangs for ever: an end that was held for an unknown workflow
+// turns out to be of a task that the workflow hasn't, and the line about it asks the
+// replica while the replica is locked for the workflow's arrival.
+func TestHeldEndOfATaskThatDoesNotExist(t *testing.T) {
+	s := newEndFixture(t)
+	s.ow.engine = dispatcher.New(endedAt, dispatcher.Config{DataCentre: "tartu", Token: 1, Registered: s.ow.registered})
+	s.ow.engine.SetWorkers(endedAt, []briarspring.WorkerEntry{{ID: "w0", Address: "a", Service: "ledger", DataCentre: "tartu"}})
+	run := endedRun
+	run.Task.Index = 9
+	s.ow.engine.HandleRenewal(endedAt, endedAt, "w0", briarspring.LeaseReply{
+		StartedAt: 1, Clock: time.Second, Ended: []briarspring.EndedTask{{Number: 1, Run: run, End: briarspring.RunDone}},
+	})
+	sub := s.replica.Subscribe()
+	s.apply(submissionIn(t, "tartu"))
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		s.ow.applyChanges(endedAt, sub)
+	}()
+	select {
+	case <-applied:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the ownership and the replica are locked for ever")
+	}
+}
