dispatcher: a line about an end asks for nothing that is locked

A host hung for ever when an end that was held for an unknown workflow turned out to be of a task that the workflow doesn't have: the line about it read the replica while the replica was locked for the workflow's arrival. The line now says what the owner itself knows of the workflow.

--- a/dispatcher/audit.go
+++ b/dispatcher/audit.go
@@ -55,9 +55,13 @@
 
 // logUnknownEnd logs the end of a run of an unknown task, which is acknowledged with the
 // next batch though no record can cover it.
-func (d *Dispatcher) logUnknownEnd(w *worker, e briarspring.EndedTask, known bool) {
+func (d *Dispatcher) logUnknownEnd(w *worker, j *job, e briarspring.EndedTask) {
 	d.counters.UnrecordedEnds++
-	d.logEnd(hclog.Warn, "end of a run of an unknown task", w, e, d.registration(e), known)
+	reg := Registration{State: "unknown"}
+	if j != nil {
+		reg = Registration{State: j.phase.String(), Final: j.phase.Final(), Local: true}
+	}
+	d.logEnd(hclog.Warn, "end of a run of an unknown task", w, e, reg, j != nil)
 }
 
 // logHeldEnd logs an end that is not acknowledged yet. That it is not needed is usual for
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -198,7 +198,7 @@
 	}
 	t := j.task(e.Run.Task)
 	if t == nil {
-		d.logUnknownEnd(w, e, j != nil)
+		d.logUnknownEnd(w, j, e)
 		return
 	}
 	d.checkEnd(w, t, e)
