dispatcher: a start that is refused for an ended run waits for its end

A worker refuses a start if a run of the task with that number or a higher one has ended there. The owner dropped the start and ordered the next run at once, before the worker had listed the end. It now waits until the end is listed or has been missing for long enough.

--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -52,6 +52,11 @@
 	}
 	d.logger.Warn("start not carried out", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
 		"run", r.ref.Run, "worker", w.id, "verdict", v.String())
+	if v == briarspring.VerdictStaleRun {
+		// A run of this number or a higher one has ended there; its end may not be listed yet.
+		r.state = runAlive
+		return
+	}
 	if v == briarspring.VerdictUnanswered {
 		d.counters.Doubts++
 		r.state = runUnanswered
