dispatcher: the record of a worker follows its service too

A worker that starts again in another service kept the record of the earlier one. A new owner that found its entry away would not have waited for it before starting that service's tasks.

--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -6,10 +6,10 @@
 	"briarspring/registrar"
 )
 
-// recordMark is the address of a worker that a batch records.
+// recordMark is a record of a worker in a batch.
 type recordMark struct {
-	worker  *worker
-	address string
+	worker *worker
+	record briarspring.KnownWorker
 }
 
 // takeWorkerRecords adds the records of the workers that a new owner has to ask, and the
@@ -21,30 +21,34 @@
 		return
 	}
 	for _, w := range d.workersByID {
-		switch asked := d.unasked(w) == ""; {
-		case asked && w.recordAddress != w.entry.Address:
-			k := briarspring.KnownWorker{ID: w.id, Address: w.entry.Address, Service: w.entry.Service}
+		switch k, asked := knownWorker(w.entry), d.unasked(w) == ""; {
+		case asked && w.record != k:
 			value, err := encoder.EncodeKnownWorker(k)
 			if err != nil {
 				d.logger.Error("worker can't be encoded", "worker", w.id, "error", err)
 			}
-			w.recordAddress, w.recorded = k.Address, false
+			w.record, w.recorded = k, false
 			if err != nil {
 				continue
 			}
 			b.Progress = append(b.Progress, briarspring.KeyedRecord{Key: registrar.KnownWorkerKey(w.id), Value: value})
-			b.workers = append(b.workers, recordMark{worker: w, address: k.Address})
-		case !asked && w.recordAddress != "":
-			w.recordAddress, w.recorded = "", false
+			b.workers = append(b.workers, recordMark{worker: w, record: k})
+		case !asked && w.record != (briarspring.KnownWorker{}):
+			w.record, w.recorded = briarspring.KnownWorker{}, false
 			b.Progress = append(b.Progress, briarspring.KeyedRecord{Key: registrar.KnownWorkerKey(w.id)})
 		}
 	}
 }
 
+// knownWorker returns the record of a worker with an entry.
+func knownWorker(e briarspring.WorkerEntry) briarspring.KnownWorker {
+	return briarspring.KnownWorker{ID: e.ID, Address: e.Address, Service: e.Service}
+}
+
 // workersStored records that a batch with records of workers is in the log.
 func (d *Dispatcher) workersStored(b Batch) {
 	for _, m := range b.workers {
-		if m.worker.recordAddress == m.address {
+		if m.worker.record == m.record {
 			m.worker.recorded = true
 			d.needsPlan = true
 		}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -39,8 +39,8 @@
 	asked      bool          // This owner has asked what it runs.
 	inherited  bool          // Known when the claim took effect, so an earlier owner may have used it.
 
-	recorded      bool   // Its record is in the progress stream, so that it may be used.
-	recordAddress string // Address in its last record, stored or on its way; empty without one.
+	recorded bool                    // Its record is in the progress stream, so that it may be used.
+	record   briarspring.KnownWorker // Its last record, stored or on its way; zero without one.
 
 	fenced        bool // Has answered under this owner's token in its present incarnation.
 	incarnation   int64
@@ -128,7 +128,7 @@
 // bounds memory while hosts are replaced continuously.
 func (d *Dispatcher) forgetWorkers() {
 	d.workersByID = slices.DeleteFunc(d.workersByID, func(w *worker) bool {
-		if w.listed || len(w.runs) > 0 || len(w.orphans) > 0 || w.hasUnstoredEnds() || w.recordAddress != "" || w.unlistedAt == 0 || d.now-w.unlistedAt < unlistedRetention {
+		if w.listed || len(w.runs) > 0 || len(w.orphans) > 0 || w.hasUnstoredEnds() || w.record != (briarspring.KnownWorker{}) || w.unlistedAt == 0 || d.now-w.unlistedAt < unlistedRetention {
 			return false
 		}
 		delete(d.workers, w.id)
@@ -155,7 +155,7 @@
 	w.listed = true
 	w.unlistedAt = 0
 	w.entry = e
-	w.recorded = w.recorded && w.recordAddress == e.Address || !d.config.RecordedOnly
+	w.recorded = w.recorded && w.record == knownWorker(e) || !d.config.RecordedOnly
 	d.updateLeaveTime(w)
 	return joined
 }
