dispatcher: a young worker is no proof that it restarted under a recorded run

A new owner took a run that an earlier one had recorded for lost after 0.3 s if the worker's process was younger than a lease, and started the task again although the end was on its way. The process may have been young when the run started. Such a run now has to be missing for as long as any other; the cost is 1.2 s after a worker and its owner were lost together.

--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -372,8 +372,8 @@
 		switch {
 		case r.state == runUnanswered:
 			d.checkUnstarted(r, missing >= unstartedTime)
-		case r.state == runUnknown && w.clock < d.config.MaxLease && missing >= unstartedTime:
-			// The worker has restarted since its last renewal by the earlier owner.
+		case r.state == runUnknown && missing >= missingTime && r.missingSince < d.config.MaxLease:
+			// The worker may have restarted since its last renewal by the earlier owner.
 			d.suspect(r)
 			d.markLost(r, "not listed by the recorded worker, which has restarted")
 		case r.state == runUnknown && missing >= missingTime:
