dispatcher: a stop that an earlier process of a worker answered doesn't count for the next

A start without an answer may still be carried out by the next process of its worker. The answer to a stop that was processed after the restart was noticed counted all the same, and the next run started. The order now carries the process that it was meant for.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -218,6 +218,8 @@
 	Start   briarspring.StartOrder
 	Stop    briarspring.StopOrder
 	Pace    briarspring.PaceOrder
+
+	incarnation int64 // Of the worker, as known when a stop was ordered.
 }
 
 // Run returns the run that the order refers to.
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -438,7 +438,7 @@
 	r.stopSentAt = d.now
 	d.orders = append(d.orders, Order{
 		Kind: OrderStop, Worker: r.worker.id, Address: r.worker.entry.Address,
-		Stop: briarspring.StopOrder{Run: r.ref, Token: d.config.Token},
+		Stop: briarspring.StopOrder{Run: r.ref, Token: d.config.Token}, incarnation: r.worker.incarnation,
 	})
 }
 
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -27,7 +27,8 @@
 	case OrderStart:
 		d.startAnswered(w, r, v)
 	case OrderStop:
-		if v == briarspring.VerdictDone || v == briarspring.VerdictStaleRun {
+		// The next process of the worker knows of no stop.
+		if (v == briarspring.VerdictDone || v == briarspring.VerdictStaleRun) && o.incarnation == w.incarnation {
 			r.stopAnsweredAt = now
 		}
 	case OrderPace:
