imitator: tasks that end at the same instant end together

Callers of Exchange saw one or several of the tasks that were started by one call and take the same time: each had a timer of its own, all fired at the same instant, and the exchange that the first of them woke up raced with the others. The rest came some 10 ms later with the next exchange, or not.

--- a/imitator/truth.go
+++ b/imitator/truth.go
@@ -18,7 +18,7 @@
 	if w.closed {
 		return GroundTruth{}
 	}
-	w.enforceLease()
+	w.endDueTasks()
 	t := GroundTruth{Capacity: w.config.Capacity.MilliCPU()}
 	for _, key := range w.sortedAttempts() {
 		task := w.tasks[key]
--- a/imitator/worker.go
+++ b/imitator/worker.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -11,11 +10,6 @@
 	"briarspring"
 )
 
-// slowdownPrecision is the number of steps per 1.0 to which slowdowns are
-// rounded: profiles give shares with at most four decimals and throttles are
-// whole percents, so that products have at most six decimals.
-const slowdownPrecision = 1e6
-
 // WorkerConfig holds the settings of a Worker.
 type WorkerConfig struct {
 	Name           string
@@ -61,6 +55,8 @@
 	speed           float64
 	throttle        float64
 	timer           *time.Timer
+	endsAt          time.Time // When it ends by itself or its checkpoint is saved; zero if neither.
+	endPhase        briarspring.TaskPhase
 	executor        *executor
 	savedCheckpoint uint64
 	version         uint64 // Version of the worker when the task last changed.
@@ -106,7 +102,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.enforceLease()
+	w.endDueTasks()
 	if e.Epoch < w.epoch || w.closed {
 		return briarspring.WorkerReport{Clock: w.clock(), Incarnation: w.config.Incarnation, Epoch: w.epoch}
 	}
@@ -120,7 +116,7 @@
 	defer w.mu.Unlock()
 	ready := make(chan struct{})
 	close(ready)
-	w.enforceLease()
+	w.endDueTasks()
 	if e.Epoch < w.epoch || w.closed {
 		return ready
 	}
@@ -212,15 +208,35 @@
 	if w.leaseTimer != nil {
 		w.leaseTimer.Stop()
 	}
-	w.leaseTimer = time.AfterFunc(w.leaseEnd-w.clock(), func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.enforceLease()
-	})
+	w.leaseTimer = time.AfterFunc(w.leaseEnd-w.clock(), w.runDueTasks)
+}
+
+// runDueTasks is called by the timers.
+func (w *Worker) runDueTasks() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endDueTasks()
+}
+
+// endDueTasks ends the tasks whose lease or time has ended. It is called before
+// anything else that reads tasks: a paused process may miss a timer, and tasks
+// that end at the same instant are reported together, whichever timer is first.
+func (w *Worker) endDueTasks() {
+	w.enforceLease()
+	now := time.Now()
+	var due []briarspring.AttemptID
+	for key, t := range w.tasks {
+		if !t.endsAt.IsZero() && !now.Before(t.endsAt) {
+			due = append(due, key)
+		}
+	}
+	slices.SortFunc(due, compareAttempts)
+	for _, key := range due {
+		w.finish(w.tasks[key], w.tasks[key].endPhase)
+	}
 }
 
-// enforceLease ends every live task if the lease has expired. It is called before
-// anything else that reads tasks, since a paused process may miss the timer.
+// enforceLease ends every live task if the lease has expired.
 func (w *Worker) enforceLease() {
 	if w.clock() < w.leaseEnd {
 		return
@@ -299,23 +315,18 @@
 		work = min(work, t.workDone+failAfter)
 	}
 	remaining := max(0, work-t.workDone)
-	t.timer = time.AfterFunc(time.Duration(float64(remaining)/t.speed), func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.enforceLease()
-		if t.phase != briarspring.TaskRunning {
-			return
-		}
-		phase := briarspring.TaskDone
-		if failed {
-			phase = briarspring.TaskFailed
-		}
-		w.finish(t, phase)
-	})
+	t.endPhase = briarspring.TaskDone
+	if failed {
+		t.endPhase = briarspring.TaskFailed
+	}
+	d := time.Duration(float64(remaining) / t.speed)
+	t.endsAt = t.resumedAt.Add(d)
+	t.timer = time.AfterFunc(d, w.runDueTasks)
 }
 
 // pause stops the timer of a batch task and adds up the work done so far.
 func (t *workerTask) pause() {
+	t.endsAt = time.Time{}
 	if t.timer == nil {
 		return
 	}
@@ -328,6 +339,9 @@
 func (w *Worker) finish(t *workerTask, phase briarspring.TaskPhase) {
 	t.pause()
 	t.phase = phase
+	if phase == briarspring.TaskCheckpointed {
+		t.savedCheckpoint = uint64(t.workDone.Milliseconds())
+	}
 	if t.executor != nil {
 		t.executor.close(phase == briarspring.TaskCheckpointed)
 	}
@@ -356,24 +370,24 @@
 	t.pause()
 	t.phase = briarspring.TaskStopping
 	w.markChanged(t)
-	stopped := func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.enforceLease()
-		if t.phase != briarspring.TaskStopping {
-			return
-		}
-		t.savedCheckpoint = uint64(t.workDone.Milliseconds())
-		w.finish(t, briarspring.TaskCheckpointed)
-	}
 	if t.executor != nil {
-		go func() {
-			t.executor.drain()
-			stopped()
-		}()
+		go w.drainExecutor(t)
 		return
 	}
-	time.AfterFunc(w.config.CheckpointTime, stopped)
+	t.endPhase = briarspring.TaskCheckpointed
+	t.endsAt = time.Now().Add(w.config.CheckpointTime)
+	time.AfterFunc(w.config.CheckpointTime, w.runDueTasks)
+}
+
+// drainExecutor ends a stopping task once its executor has no request in flight.
+func (w *Worker) drainExecutor(t *workerTask) {
+	t.executor.drain()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endDueTasks()
+	if t.phase == briarspring.TaskStopping {
+		w.finish(t, briarspring.TaskCheckpointed)
+	}
 }
 
 func (w *Worker) forgetTask(key briarspring.AttemptID) {
@@ -395,67 +409,6 @@
 	w.updateSlowdowns()
 }
 
-// updateSlowdowns sets the slowdown that the running batch tasks cause to each
-// executor.
-func (w *Worker) updateSlowdowns() {
-	for _, t := range w.tasks {
-		if t.executor != nil {
-			t.executor.setSlowdown(w.slowdown(t))
-		}
-	}
-}
-
-func (w *Worker) slowdown(service *workerTask) float64 {
-	var shares []float64
-	for _, t := range w.tasks {
-		if t.start.Service || t.phase != briarspring.TaskRunning {
-			continue
-		}
-		shares = append(shares, t.profile.noiseFor(service.start.Name)*t.throttle)
-	}
-	return sumSlowdown(shares)
-}
-
-// sumSlowdown returns 1 plus the shares by which tasks slow an executor. The
-// shares are decimal fractions; rounding the sum removes their binary
-// representation error, which depends on the order of the tasks.
-func sumSlowdown(shares []float64) float64 {
-	sum := 1.0
-	for _, s := range shares {
-		sum += s
-	}
-	return math.Round(sum*slowdownPrecision) / slowdownPrecision
-}
-
-// sampleUsage records the usage of each running attempt.
-func (w *Worker) sampleUsage() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.closed {
-		return
-	}
-	w.enforceLease()
-	for _, key := range w.sortedAttempts() {
-		t := w.tasks[key]
-		if t.phase != briarspring.TaskRunning {
-			continue
-		}
-		u := briarspring.Usage{
-			Attempt: key, Taken: w.clock(),
-			MilliCPU:  int64(float64(t.start.Resources.MilliCPU()) * t.profile.usedShare * t.throttle),
-			MemoryMiB: int64(float64(t.start.Resources.MemoryMiB()) * t.profile.usedShare),
-		}
-		if t.executor != nil {
-			u.P99, u.Requests = t.executor.measure()
-		} else if t.start.Service {
-			u.P99 = time.Duration(float64(t.profile.time) * w.slowdown(t))
-			u.Requests = 1
-		}
-		w.usage = append(w.usage, u)
-	}
-	w.sampler.Reset(w.config.ReportInterval)
-}
-
 // Close stops the worker at once and ends its tasks, as the death of its host
 // would.
 func (w *Worker) Close() {
