scheduler: transfers, stops and evictions in a defined order

An owner that released tasks of one workload to several data centres appended the transfers in the order of a map, so that the offsets, and with them what the other owners did first, changed from run to run. Transfers are now appended in the order of the data centres' names. Stops and forgets of an exchange follow the attempts, and among two attempts of one task with the same interference the earlier one comes first; a map decided these too.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -231,6 +232,8 @@
 	for _, id := range w.Tasks() {
 		s.addTaskCommands(a, &e, id)
 	}
+	slices.SortFunc(e.Forget, compareAttempts)
+	slices.SortFunc(e.Stops, compareAttempts)
 	e.Seen = a.report.Version
 	if a.failures == 0 && len(e.Starts)+len(e.Stops)+len(e.Throttles) == 0 {
 		e.Wait = s.config.ExchangeInterval
--- a/scheduler/guard.go
+++ b/scheduler/guard.go
@@ -201,8 +201,7 @@
 	slices.SortFunc(attempts, func(x, y briarspring.AttemptID) int {
 		return cmp.Or(
 			cmp.Compare(interference[y], interference[x]),
-			cmp.Compare(x.Task.Workload, y.Task.Workload),
-			cmp.Compare(x.Task.Index, y.Task.Index),
+			compareAttempts(x, y),
 		)
 	})
 	return attempts, interference
--- a/scheduler/spread.go
+++ b/scheduler/spread.go
@@ -74,6 +74,10 @@
 	return cmp.Or(cmp.Compare(a.Workload, b.Workload), cmp.Compare(a.Index, b.Index))
 }
 
+func compareAttempts(a, b briarspring.AttemptID) int {
+	return cmp.Or(compareTaskIDs(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
+}
+
 // moveReleaseEvents releases the tasks of executors drained for a move.
 func (s *Scheduler) moveReleaseEvents() []briarspring.Event {
 	var events []briarspring.Event
--- a/scheduler/transfer.go
+++ b/scheduler/transfer.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -175,7 +176,9 @@
 		if w == nil || now.Sub(s.summary.transferSent[id]) < transferRetryInterval {
 			continue
 		}
-		for to, tasks := range s.releasedTasks(w, l) {
+		released := s.releasedTasks(w, l)
+		for _, to := range slices.Sorted(maps.Keys(released)) {
+			tasks := released[to]
 			s.summary.transferSent[id] = now
 			s.configCommitter.Commit(briarspring.Transfer{
 				Workload: id, From: s.config.DataCentre, To: to, Granted: l.Offset(), Tasks: tasks,
