replayer: a seed gives the same figures on any processors

The calls of all agents, followers and schedulers began and ended at the same instants of virtual time (agents start together, the stand-ins answer at once, all schedulers tick together, samples and events share whole tenths of a second), where the order is that of goroutines, and timers of one instant fire in random order.

Each call of a scheduler to the log, the workers and the hosts is now delayed by up to 1 ms on its way and on its way back, drawn in nanoseconds from a source of the seed, the scheduler and the kind of call; schedulers start up to 25 ms apart, and load samples begin at a seeded time. A kill-owner event wrote the map of schedulers while the sampler read it; a mutex guards it.

--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -15,6 +16,7 @@
 	"briarspring/imitator"
 	"briarspring/placer"
 	"briarspring/scheduler"
+	"briarspring/sleeper"
 )
 
 const (
@@ -41,8 +43,10 @@
 	hosts         *imitator.Hosts
 	journal       *imitator.Journal
 	fleets        map[string]*imitator.Fleet
+	schedulersMu  sync.Mutex // The load sampler reads schedulers too.
 	schedulers    map[string]*scheduler.Scheduler
 	cancels       map[string]context.CancelFunc
+	delays        map[string]*delays
 	ctx           context.Context
 	start         time.Time
 	requests      int
@@ -61,7 +65,7 @@
 		log:   imitator.NewLog(imitator.LogConfig{AppendsPerSecond: appendsPerSecond, Seed: t.Seed}),
 		hosts: imitator.NewHosts(hostsLag), journal: &imitator.Journal{},
 		fleets: map[string]*imitator.Fleet{}, schedulers: map[string]*scheduler.Scheduler{},
-		cancels: map[string]context.CancelFunc{}, expectedTasks: map[string]uint32{},
+		cancels: map[string]context.CancelFunc{}, delays: map[string]*delays{}, expectedTasks: map[string]uint32{},
 		cancelled: map[string]time.Time{}, outIntervals: map[string][]interval{},
 	}
 	r.log.SetFaults(imitator.LogFaults{Latency: logLatency})
@@ -135,19 +139,34 @@
 }
 
 func (r *Replayer) startScheduler(dataCentre, name string) {
+	d := r.delays[name]
+	if d == nil {
+		d = newDelays(r.trace.Seed, name)
+		r.delays[name] = d
+	}
 	s := scheduler.New(scheduler.Config{
-		Name: name, DataCentre: dataCentre, Log: r.log.Client(name), Workers: r.fleets[dataCentre].Client(name),
-		Hosts: r.hosts, Logger: r.logger, PlacementRule: r.rule,
+		Name: name, DataCentre: dataCentre, Logger: r.logger, PlacementRule: r.rule,
+		Log:     delayedLog{Log: r.log.Client(name), delays: d},
+		Workers: delayedWorkers{Workers: r.fleets[dataCentre].Client(name), delays: d},
+		Hosts:   delayedHosts{list: r.hosts, delays: d},
 	})
 	ctx, cancel := context.WithCancel(r.ctx)
+	r.schedulersMu.Lock()
 	r.schedulers[name] = s
+	r.schedulersMu.Unlock()
 	r.cancels[name] = cancel
-	go s.Run(ctx)
+	delay := d.draw("start", maxStartDelay)
+	go func() {
+		_ = sleeper.For(ctx, delay)
+		s.Run(ctx)
+	}()
 }
 
 // anyScheduler returns the first scheduler of the first data centre; any
 // scheduler would do.
 func (r *Replayer) anyScheduler() *scheduler.Scheduler {
+	r.schedulersMu.Lock()
+	defer r.schedulersMu.Unlock()
 	return r.schedulers[r.trace.DataCentres[0].Name+"-s0"]
 }
 
@@ -167,9 +186,11 @@
 	return fmt.Errorf("the data centres did not start within %s", startupTimeout)
 }
 
-// sampleLoad samples the load of all workers from MeasureFrom to MeasureTo.
+// sampleLoad samples the load of all workers from MeasureFrom to MeasureTo. Its
+// phase keeps samples and events from the same instant.
 func (r *Replayer) sampleLoad() {
-	r.sleepUntil(time.Duration(r.trace.MeasureFrom))
+	phase := newDelays(r.trace.Seed, "sampler").draw("start", sampleInterval)
+	r.sleepUntil(time.Duration(r.trace.MeasureFrom) + phase)
 	end := r.start.Add(time.Duration(r.trace.MeasureTo))
 	for time.Now().Before(end) && r.ctx.Err() == nil {
 		out := map[string]bool{}
--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -39,3 +39,19 @@
 		})
 	}
 }
+
+// TestSameFigures replays each trace twice, beside all others, and requires the
+// same measures.
+func TestSameFigures(t *testing.T) {
+	files, err := filepath.Glob("../traces/*.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		trace, err := replayer.Load(file)
+		require.NoError(t, err)
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, replay(t, trace, placer.RuleInterference), replay(t, trace, placer.RuleInterference))
+		})
+	}
+}
