--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -393,8 +393,8 @@
 }
 
 // checkUnstarted handles a run whose start was not answered and that its worker does
-// not list. It is lost once it has been missing for long enough since it could have
-// started.
+// not list. It is lost once it can't start any more and has been missing for long enough
+// since then.
 func (d *Dispatcher) checkUnstarted(r *run, sure bool) {
 	switch {
 	case sure && r.stopAnsweredAt != 0:
--- a/steward/ends.go
+++ b/steward/ends.go
@@ -45,7 +45,8 @@
 			return
 		}
 		position, ok := e.Workflow().Position(h.Run.Task)
-		if needed = ok && !e.Phase().Final() && !e.Workflow().Steps[h.Run.Task.Step].LongRunning; !needed || e.DataCentre(position) == ow.config.DataCentre {
+		needed = ok && !e.Phase().Final() && !e.Workflow().Steps[h.Run.Task.Step].LongRunning
+		if !needed || e.DataCentre(position) == ow.config.DataCentre {
 			return
 		}
 		value, err := encoder.EncodeRunProgress([]briarspring.TaskProgress{h.Progress(position)})
