--- a/dispatcher/audit.go
+++ b/dispatcher/audit.go
@@ -202,26 +202,6 @@
 	}
 }
 
-// unasked returns why a worker's lease is not renewed, so that it is not asked what it
-// runs, or an empty string if it is.
-func (d *Dispatcher) unasked(w *worker) string {
-	switch {
-	case w.entry.Address == "":
-		return "address unknown"
-	case w.gone:
-		return "another process has its address"
-	case w.listed || len(w.runs) > 0 || w.hasUnstoredEnds():
-		return ""
-	case !w.inherited:
-		return "left the list without runs"
-	case w.reported:
-		return "left the list after its report"
-	case d.leaseEnded(w):
-		return "lease ended"
-	}
-	return ""
-}
-
 // Absence says why an owner doesn't ask a worker what it runs.
 type Absence struct {
 	Why          string // Empty if it asks.
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -173,6 +173,26 @@
 	return list
 }
 
+// unasked returns why a worker's lease is not renewed, so that it is not asked what it
+// runs, or an empty string if it is.
+func (d *Dispatcher) unasked(w *worker) string {
+	switch {
+	case w.entry.Address == "":
+		return "address unknown"
+	case w.gone:
+		return "another process has its address"
+	case w.listed || len(w.runs) > 0 || w.hasUnstoredEnds():
+		return ""
+	case !w.inherited:
+		return "left the list without runs"
+	case w.reported:
+		return "left the list after its report"
+	case d.leaseEnded(w):
+		return "lease ended"
+	}
+	return ""
+}
+
 // hasUnstoredEnds reports whether the worker has reported ends that are not in the log
 // yet.
 func (w *worker) hasUnstoredEnds() bool { return w.lastEndSeen > w.lastEndStored }
--- a/steward/audit.go
+++ b/steward/audit.go
@@ -8,8 +8,8 @@
 	"briarspring/registrar"
 )
 
-// logRemovedWorkers logs the workers that an inventory doesn't name any more: a
-// successor won't ask them what they run.
+// logRemovedWorkers logs the workers that an inventory doesn't name any more. Their
+// records are deleted for the same reason, so that a successor won't ask them what they run.
 func (ow *ownership) logRemovedWorkers(before, after []briarspring.KnownWorker) {
 	for _, k := range before {
 		if slices.ContainsFunc(after, func(o briarspring.KnownWorker) bool { return o.ID == k.ID }) {
