Names and tests of the change, read once more

No change of logic. 'Renamed' said nothing: an earlier owner counts as gone only because a later process has its name, so the flag is nameTaken. The record of a worker checks its error once. Two tests shared the start that is not answered and the stop that follows; it is one function now, and their checks are as they were. That scheduler/apply.go:70 skips a record which can't be decoded was looked at: the follower has logged it as an error with stream and offset by then.

--- a/dispatcher/authority.go
+++ b/dispatcher/authority.go
@@ -20,9 +20,9 @@
 // when they have lost their authority.
 func (d *Dispatcher) SetPredecessorsYield(yield bool) { d.predecessorsYield = yield }
 
-// SetPredecessorsRenamed sets whether some earlier owner is known to be gone only by
-// another process with its name.
-func (d *Dispatcher) SetPredecessorsRenamed(renamed bool) { d.renamed = renamed }
+// SetPredecessorsNameTaken sets whether some earlier owner is known to be gone only
+// because a later process has its name.
+func (d *Dispatcher) SetPredecessorsNameTaken(taken bool) { d.nameTaken = taken }
 
 // mayOrder reports whether the owner may extend leases and start tasks. Once a newer
 // owner has fenced the progress stream and most of the workers, an owner that is cut
@@ -72,14 +72,14 @@
 
 // predecessorLeaseEnd returns the time at which all leases given by earlier owners
 // have certainly ended, or false while that is not known. They end when the owners
-// are known to be gone, or when those that are not have yielded. One that is gone by its
-// name only has to have yielded as well.
+// are known to be gone, or when those that are not have yielded. One that is known to be
+// gone only because a later process has its name must have yielded as well.
 func (d *Dispatcher) predecessorLeaseEnd() (time.Duration, bool) {
 	end, known := d.predecessorsGoneAt, d.predecessorsGone
 	if d.predecessorsYield && d.mostFencedAt > 0 {
 		yielded := max(d.mostFencedAt, d.startedAt) + authorityTime + leaseMargin
 		switch {
-		case known && d.renamed:
+		case known && d.nameTaken:
 			end = max(end, yielded)
 		case !known || yielded < end:
 			end, known = yielded, true
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -97,7 +97,7 @@
 	predecessorsGone   bool                     // No earlier owner gives orders any more.
 	predecessorsGoneAt time.Duration            // When that became known.
 	predecessorsYield  bool                     // Those that may still give orders yield.
-	renamed            bool                     // Some of them are gone by their names only.
+	nameTaken          bool                     // Some are known to be gone only because a later process has their name.
 	progressWrittenAt  time.Duration            // When the last successful append of progress was sent.
 	mostFencedAt       time.Duration            // When most inherited workers had accepted the token; zero before.
 	silentLeaseEnds    map[string]time.Duration // Lease ends of the workers that did not answer the last owner.
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -362,7 +362,7 @@
 			continue
 		}
 		if r.missingSince == 0 && r.startAnsweredAt < sent && (r.state != runUnanswered || w.prevents(r, sent)) {
-			r.missingSince = max(w.clock, 1)
+			r.missingSince = max(w.clock, 1) // Zero means listed.
 			r.unreported = r.state == runAlive
 		}
 		missing := w.clock - r.missingSince
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -23,12 +23,10 @@
 	for _, w := range d.workersByID {
 		switch k, asked := knownWorker(w.entry), d.unasked(w) == ""; {
 		case asked && w.record != k:
+			w.record, w.recorded = k, false
 			value, err := encoder.EncodeKnownWorker(k)
 			if err != nil {
 				d.logger.Error("worker can't be encoded", "worker", w.id, "error", err)
-			}
-			w.record, w.recorded = k, false
-			if err != nil {
 				continue
 			}
 			b.Progress = append(b.Progress, briarspring.KeyedRecord{Key: registrar.KnownWorkerKey(w.id), Value: value})
--- a/dispatcher/stale_knowledge_test.go
+++ b/dispatcher/stale_knowledge_test.go
@@ -119,23 +119,12 @@
 // processed after the next one has answered: that one knows of no stop, and may still
 // carry out the start.
 func TestStopAnsweredBeforeARestart(t *testing.T) {
-	s := newFixture(t, dispatcher.Config{Token: 1}, 2)
-	s.d.Submit(s.now, 0, workflow("a", longRunning(1, 1000)), 5, nil, nil)
-	s.d.ForcePlan()
-	orders := s.d.Plan(s.now)
-	require.Len(t, orders, 1)
-	start := orders[0]
-	s.d.HandleVerdict(s.now, start, briarspring.VerdictUnanswered)
-	for len(orders) == 0 || orders[0].Kind != dispatcher.OrderStop {
-		s.now += 100 * time.Millisecond
-		s.renewAll()
-		orders = s.d.Plan(s.now)
-	}
+	s, start, stop := stopUnanswered(t)
 	w := s.workers[start.Worker]
 	w.startedAt, w.bornAt = 2, s.now
 	s.now += 100 * time.Millisecond
 	s.renewAll()
-	s.d.HandleVerdict(s.now, orders[0], briarspring.VerdictDone)
+	s.d.HandleVerdict(s.now, stop, briarspring.VerdictDone)
 	for range 10 { // The stop that is sent to the new process is not answered.
 		s.now += 100 * time.Millisecond
 		s.renewAll()
--- a/dispatcher/unrecorded_test.go
+++ b/dispatcher/unrecorded_test.go
@@ -101,24 +101,32 @@
 	assert.Len(t, s.workers["w0"].running, 1)
 }
 
-// Guards against a start that is carried out late by the next process of its worker,
-// after the earlier process had answered the stop that was to prevent it.
-func TestStopBeforeARestart(t *testing.T) {
-	s := newFixture(t, dispatcher.Config{Token: 1}, 2)
+// stopUnanswered starts a task on one of two workers, which doesn't answer, and returns
+// the orders of the start and of the stop that follows.
+func stopUnanswered(t *testing.T) (s *fixture, start, stop dispatcher.Order) {
+	s = newFixture(t, dispatcher.Config{Token: 1}, 2)
 	s.d.Submit(s.now, 0, workflow("a", longRunning(1, 1000)), 5, nil, nil)
 	s.d.ForcePlan()
 	orders := s.d.Plan(s.now)
 	require.Len(t, orders, 1)
-	start := orders[0]
+	start = orders[0]
 	s.d.HandleVerdict(s.now, start, briarspring.VerdictUnanswered)
 	for len(orders) == 0 || orders[0].Kind != dispatcher.OrderStop {
 		s.now += 100 * time.Millisecond
 		s.renewAll()
 		orders = s.d.Plan(s.now)
 	}
-	s.d.HandleVerdict(s.now, orders[0], briarspring.VerdictDone)
+	return s, start, orders[0]
+}
+
+// Guards against a start that is carried out late by the next process of its worker,
+// after the earlier process had answered the stop that was to prevent it.
+func TestStopBeforeARestart(t *testing.T) {
+	s, start, stop := stopUnanswered(t)
+	s.d.HandleVerdict(s.now, stop, briarspring.VerdictDone)
 	w := s.workers[start.Worker]
 	w.startedAt, w.bornAt = 2, s.now
+	var orders []dispatcher.Order
 	for range 10 {
 		s.now += 100 * time.Millisecond
 		s.renewAll()
--- a/registrar/renamed_test.go
+++ b/registrar/name_taken_test.go
@@ -27,8 +27,8 @@
 	t.Run("may have a process beside it", func(t *testing.T) {
 		s, _ := newStream()
 		assertBoth(t, s, func(t *testing.T, r *registrar.Registry) {
-			assert.True(t, r.PredecessorsRenamed(2*time.Second, unreachable, "tartu"))
-			assert.False(t, r.PredecessorsRenamed(14*time.Second, unreachable, "tartu"))
+			assert.True(t, r.PredecessorsNameTaken(2*time.Second, unreachable, "tartu"))
+			assert.False(t, r.PredecessorsNameTaken(14*time.Second, unreachable, "tartu"))
 		})
 	})
 	t.Run("is gone when it says so", func(t *testing.T) {
@@ -36,7 +36,7 @@
 		value, err := encoder.EncodeRetirement(briarspring.Retirement{Token: token})
 		s.add(registrar.RetireKey("tartu", token), value, err)
 		assertBoth(t, s, func(t *testing.T, r *registrar.Registry) {
-			assert.False(t, r.PredecessorsRenamed(2*time.Second, unreachable, "tartu"))
+			assert.False(t, r.PredecessorsNameTaken(2*time.Second, unreachable, "tartu"))
 		})
 	})
 }
--- a/registrar/owner.go
+++ b/registrar/owner.go
@@ -31,7 +31,7 @@
 	replacedAt time.Duration // When the claim that replaced it was read.
 	gone       bool          // Its owner gives no more orders under it.
 	goneAt     time.Duration // When the record that showed this was read.
-	renamed    bool          // Only another process with its name shows that it is gone.
+	nameTaken  bool          // Known to be gone only because a later process has its name.
 }
 
 // maxPastClaims bounds the replaced claims kept for each data centre. By the
@@ -144,11 +144,11 @@
 	})
 }
 
-// PredecessorsRenamed reports whether some earlier owner of a data centre that yields is
-// known to be gone only by another process with its name, which may run beside it.
-func (r *Registry) PredecessorsRenamed(now, maxUnreachable time.Duration, dataCentre string) bool {
+// PredecessorsNameTaken reports whether some earlier owner of a data centre that yields is
+// known to be gone only because a later process has its name; that may run beside it.
+func (r *Registry) PredecessorsNameTaken(now, maxUnreachable time.Duration, dataCentre string) bool {
 	return slices.ContainsFunc(r.ownershipOf(dataCentre).past, func(p pastClaim) bool {
-		return p.renamed && p.claim.Yields && p.replacedAt+maxUnreachable > now
+		return p.nameTaken && p.claim.Yields && p.replacedAt+maxUnreachable > now
 	})
 }
 
@@ -194,7 +194,7 @@
 		byOwner := c.Owner == "" || c.Owner == o.claim.Owner && c.Incarnation == o.claim.Incarnation
 		if byOwner || o.claim.Owner == "" || r.hosts[o.claim.Owner].Incarnation > o.claim.Incarnation {
 			p.gone, p.goneAt = true, now
-			p.renamed = !byOwner && o.claim.Owner != ""
+			p.nameTaken = !byOwner && o.claim.Owner != ""
 		}
 		o.past = append(o.past, p)
 		o.past = o.past[max(0, len(o.past)-maxPastClaims):]
@@ -223,7 +223,7 @@
 		for i := range o.past {
 			p := &o.past[i]
 			if !p.gone && p.claim.Owner == name && p.claim.Incarnation < presence.Incarnation {
-				p.gone, p.goneAt, p.renamed = true, now, true
+				p.gone, p.goneAt, p.nameTaken = true, now, true
 			}
 		}
 	}
@@ -249,8 +249,8 @@
 		}
 	}
 	for i := range o.past {
-		if p := &o.past[i]; (!p.gone || p.renamed) && p.claim.Token == token {
-			p.gone, p.goneAt, p.renamed = true, now, false
+		if p := &o.past[i]; (!p.gone || p.nameTaken) && p.claim.Token == token {
+			p.gone, p.goneAt, p.nameTaken = true, now, false
 		}
 	}
 	return nil
--- a/steward/term.go
+++ b/steward/term.go
@@ -227,7 +227,7 @@
 		if at, ok := r.PredecessorsGoneAt(now, maxUnreachable, ow.config.DataCentre); ok {
 			ow.engine.SetPredecessorsGone(at)
 		}
-		ow.engine.SetPredecessorsRenamed(r.PredecessorsRenamed(now, maxUnreachable, ow.config.DataCentre))
+		ow.engine.SetPredecessorsNameTaken(r.PredecessorsNameTaken(now, maxUnreachable, ow.config.DataCentre))
 		ow.engine.SetPredecessorsYield(r.PredecessorsYield(now, maxUnreachable, ow.config.DataCentre))
 		ow.engine.SetSilentLeaseEnds(maps.Clone(r.SilentWorkers(ow.config.DataCentre)))
 		if all {
