Log the directory's version with what was decided under it

An answer by an older directory can't be told from one by a host that never had the newer one: no line names the version that a submission, a 404 or an owner's starts followed, nor how long ago the directory was read. The lines of submissions have it now, an owner logs each workflow that it receives with its own version, and a queue that isn't found is logged with version and age. The version is a metric. No change of logic.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -46,14 +46,15 @@
 
 // Config holds the settings of an Admitter.
 type Config struct {
-	DataCentre  string
-	DataCentres []string
-	Shared      Writer
-	Catalogue   Catalogue
-	Replica     *replicator.Replica
-	Reading     Freshness
-	Now         func() time.Duration
-	Logger      hclog.Logger
+	DataCentre       string
+	DataCentres      []string
+	Shared           Writer
+	Catalogue        Catalogue
+	Replica          *replicator.Replica
+	Reading          Freshness // Of the shared state.
+	DirectoryReading Freshness // Of the catalogue.
+	Now              func() time.Duration
+	Logger           hclog.Logger
 	// MaxRecordBytes is the largest record that the log stores, with its key. Zero
 	// means no limit.
 	MaxRecordBytes int
@@ -148,6 +149,8 @@
 		}
 	}
 	if !found {
+		age, _ := a.config.DirectoryReading.Age()
+		a.config.Logger.Info("unknown queue", "host", host, "path", path, "directory-version", directory.Version, "directory-age-ms", age.Milliseconds())
 		return briarspring.Queue{}, "", &UnknownQueueError{Host: host, Path: path}
 	}
 	return queue, path[len(queue.Prefix):], nil
@@ -215,7 +218,8 @@
 	}
 	if err := a.admit(q, w); err != nil {
 		age, _ := a.config.Reading.Age()
-		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "state-age-ms", age.Milliseconds(), "error", err)
+		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "directory-version", a.directoryVersion(),
+			"state-age-ms", age.Milliseconds(), "error", err)
 		return err
 	}
 	value, err := encoder.EncodeSubmission(w)
@@ -230,10 +234,16 @@
 	})
 	age, _ := a.config.Reading.Age()
 	a.config.Logger.Info("submission", "workflow", w.ID, "queue", q.Name, "data-centre", w.DataCentre, "tasks", w.TaskCount(),
-		"state-age-ms", age.Milliseconds(), "took-ms", time.Since(w.Submitted).Milliseconds(), "stored", err == nil, "error", err)
+		"directory-version", a.directoryVersion(), "state-age-ms", age.Milliseconds(), "took-ms", time.Since(w.Submitted).Milliseconds(), "stored", err == nil, "error", err)
 	return err
 }
 
+// directoryVersion returns the version of the directory in force, 0 for none.
+func (a *Admitter) directoryVersion() uint64 {
+	directory, _ := a.config.Catalogue.Directory()
+	return directory.Version
+}
+
 // usualAttempts is the number of failed runs of each task that progress must have room
 // for, if the queue allows as many.
 const usualAttempts = 16
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -118,7 +118,7 @@
 	workersTracker := track(briarspring.WorkersStream, list, 0, func() time.Duration { return workersReadInterval }, func() bool { return owned.Load() > 0 })
 	intake := admitter.New(admitter.Config{
 		DataCentre: c.DataCentre, DataCentres: c.DataCentres, Shared: shared, Catalogue: catalogue,
-		Replica: replica, Reading: sharedTracker, Now: c.Now, Logger: logger, MaxRecordBytes: c.MaxRecordBytes,
+		Replica: replica, Reading: sharedTracker, DirectoryReading: directoryTracker, Now: c.Now, Logger: logger, MaxRecordBytes: c.MaxRecordBytes,
 	})
 	l := launcher.New(logger, c.StopTime)
 	if c.LogWriter != nil {
--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -86,6 +86,10 @@
 		}
 		return ages
 	}))
+	m.Publish("directory-version", expvar.Func(func() any {
+		directory, _ := intake.Directory()
+		return directory.Version
+	}))
 	m.Publish("owner-of", expvar.Func(func() any {
 		owned := map[string]any{}
 		for name, s := range owners {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -49,8 +49,9 @@
 	Workers(dataCentre string) ([]briarspring.WorkerEntry, bool)
 }
 
-// Catalogue knows which data centres are out of service.
+// Catalogue is the operators' configuration.
 type Catalogue interface {
+	Directory() (briarspring.Directory, bool)
 	OutOfService(dataCentre string) bool
 }
 
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -29,6 +29,8 @@
 // inService is a catalogue without data centres out of service.
 type inService struct{}
 
+func (inService) Directory() (briarspring.Directory, bool) { return briarspring.Directory{}, true }
+
 func (inService) OutOfService(string) bool { return false }
 
 // claimRecord returns the record of a claim.
--- a/steward/takeover.go
+++ b/steward/takeover.go
@@ -143,6 +143,8 @@
 	case e.Phase().Final() && len(progress) == 0:
 		return
 	default:
+		directory, _ := ow.config.Catalogue.Directory()
+		ow.logger.Info("workflow received", "workflow", w.ID, "offset", e.Offset(), "directory-version", directory.Version)
 		ow.engine.Submit(now, ow.ageOf(w), w, e.Offset(), ow.mergeTransferred(e, progress), place)
 	}
 	if ends := e.Ends(); len(ends) > 0 {
