--- /dev/null
+++ b/assembler/directory_test.go
@@ -0,0 +1,61 @@
+package assembler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"briarspring"
+	"briarspring/imitator"
+)
+
+// addedQueue is the queue that version 2 of the directory adds.
+var addedQueue = briarspring.Queue{Name: "added", Host: testQueue.Host, Prefix: "/added/", Service: "ledger", MaxAttempts: 3}
+
+// loseDirectory makes the directory unreachable for one host and returns a function
+// that ends that.
+func (f *fleet) loseDirectory(h *testHost) (end func()) {
+	return f.store.BeginOutage(imitator.StreamOutage{Stream: briarspring.DirectoryStream, Caller: h.caller, Silent: true})
+}
+
+// other returns a host of a data centre that isn't its owner.
+func (f *fleet) other(centre string) *testHost {
+	owner := f.owner(centre)
+	for i := range f.size.hosts {
+		if h := f.host(centre, i); h != owner {
+			return h
+		}
+	}
+	return nil
+}
+
+// submitTo submits a workflow of short tasks to a queue of one host, as callers do:
+// the host must know the queue.
+func (f *fleet) submitTo(h *testHost, q briarspring.Queue, id briarspring.WorkflowID) {
+	f.mu.Lock()
+	f.workflows[id] = &briarspring.Workflow{ID: id, Steps: []briarspring.Step{shortStep(2)}, MaxAttempts: q.MaxAttempts}
+	f.mu.Unlock()
+	found, _, err := h.intake.Find(q.Host, q.Prefix)
+	require.NoError(f.t, err)
+	require.NoError(f.t, h.intake.Submit(f.t.Context(), found, &briarspring.Workflow{ID: id, Steps: []briarspring.Step{shortStep(2)}}))
+}
+
+// Guards against an owner that starts the tasks of a queue of a newer directory and
+// then answers callers by an older one.
+func TestAnswerOlderThanAStart(t *testing.T) {
+	const slack = 250 * time.Millisecond // The platform's bound from a start to answers that follow it.
+	inVirtualTime(t, "the owner can't read the directory", func(t *testing.T, f *fleet) {
+		owner := f.owner(tartu)
+		defer f.loseDirectory(owner)()
+		f.store.Put(briarspring.DirectoryStream, directoryRecord(t, 2))
+		time.Sleep(300 * time.Millisecond)
+		f.submitTo(f.other(tartu), addedQueue, "0000000000000042")
+		require.Eventually(t, func() bool { return f.pool.Starts() > 0 }, 2*time.Second, time.Millisecond)
+		time.Sleep(slack)
+		_, _, err := owner.intake.Find(addedQueue.Host, addedQueue.Prefix)
+		assert.NoError(t, err)
+		assertNoViolations(t, f)
+	}, tartu)
+}
