Copy the directory into the shared stream before what was decided by it

And all hosts of a data centre that was out of service started its waiting tasks when they restarted while the directory could not be read (TestOutOfServiceAfterARestartWithoutTheDirectory: 3 starts, expected 1).

Cause: a decision comes through the shared stream, the directory that it was made under through another one, by another connection; either can be held up alone. Ruled out: a catalogue that goes back; it takes no older version.

An append to the shared stream now begins with copies of those directory records that the stream lacks, with their offsets. Whoever reads a decision has read the directory before it, and a new process has what is out of service from the same restore. Copies don't replace a later record, and a late one is followed by the newest again. A process answers callers only once it has read the directory itself: a copy may be older than what the process before it answered by.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,10 +17,19 @@
 	Append(ctx context.Context, stream string, records []briarspring.KeyedRecord, fence briarspring.Fence) (next uint64, err error)
 }
 
+// Prologue provides records that an append has to begin with.
+type Prologue interface {
+	// Records returns the records for an append that is sent next.
+	Records() []briarspring.KeyedRecord
+	// Stored is called when they are stored; next is the offset after the append.
+	Stored(records []briarspring.KeyedRecord, next uint64)
+}
+
 // Config holds the settings of an Appender.
 type Config struct {
-	Stream string
-	Store  Store
+	Stream   string
+	Store    Store
+	Prologue Prologue // Optional.
 }
 
 const (
@@ -142,11 +152,18 @@
 func (a *Appender) append(ctx context.Context, batch []writeRequest) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var records []briarspring.KeyedRecord
+	var prologue []briarspring.KeyedRecord
+	if a.config.Prologue != nil {
+		prologue = a.config.Prologue.Records()
+	}
+	records := slices.Clone(prologue)
 	for _, w := range batch {
 		records = append(records, w.records...)
 	}
-	_, err := a.config.Store.Append(ctx, a.config.Stream, records, briarspring.Fence{})
+	next, err := a.config.Store.Append(ctx, a.config.Stream, records, briarspring.Fence{})
+	if err == nil && len(prologue) > 0 {
+		a.config.Prologue.Stored(prologue, next)
+	}
 	for _, w := range batch {
 		w.result <- err
 	}
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -101,9 +101,10 @@
 	logger := c.Logger
 	calls := counter.New()
 	c.Store = &meteredStore{Store: c.Store, calls: calls}
-	shared := appender.New(appender.Config{Stream: briarspring.SharedStream, Store: c.Store})
-	replica := replicator.New(replicator.Config{Now: c.Now, Logger: logger})
 	catalogue := cataloguer.New(cataloguer.Config{Decoder: c.Decoder, Logger: logger})
+	replica := replicator.New(replicator.Config{Directory: catalogue, Now: c.Now, Logger: logger})
+	copier := cataloguer.NewCopier(cataloguer.CopierConfig{Catalogue: catalogue, Replica: replica, MaxRecordBytes: c.MaxRecordBytes, Logger: logger})
+	shared := appender.New(appender.Config{Stream: briarspring.SharedStream, Store: c.Store, Prologue: copier})
 	list := lister.New(lister.Config{Decoder: c.Decoder, Logger: logger})
 	var owned atomic.Int32
 	track := func(stream string, sink tracker.Sink, wait time.Duration, interval func() time.Duration, enabled func() bool) *tracker.Tracker {
--- a/cataloguer/cataloguer.go
+++ b/cataloguer/cataloguer.go
@@ -3,11 +3,15 @@
 package cataloguer
 
 import (
+	"bytes"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
 
 	"briarspring"
+	"briarspring/encoder"
 )
 
 // Decoder decodes records of the directory stream.
@@ -24,16 +28,19 @@
 type Config struct {
 	Decoder  Decoder
 	Logger   hclog.Logger
-	OnChange func() // Called after Restore and Apply; optional.
+	OnChange func() // Called after every change; optional.
 }
 
-// Catalogue is the operators' configuration. It implements tracker.Sink.
+// Catalogue is the operators' configuration, as read from the directory stream and from
+// the copies of its records in the shared stream. It implements tracker.Sink.
 type Catalogue struct {
 	config Config
 
 	mu           sync.Mutex
 	directory    briarspring.Directory
-	loaded       bool
+	loaded       bool // There is a directory.
+	read         bool // The directory stream itself was read.
+	records      map[string]briarspring.KeyedRecord
 	outOfService map[string]bool
 }
 
@@ -45,14 +52,16 @@
 	if c.OnChange == nil {
 		c.OnChange = func() {}
 	}
-	return &Catalogue{config: c, outOfService: map[string]bool{}}
+	return &Catalogue{config: c, records: map[string]briarspring.KeyedRecord{}, outOfService: map[string]bool{}}
 }
 
-// Directory returns the current queues, and false before any were loaded.
+// Directory returns the current queues, and false before any were read from the
+// directory stream: copies alone may be older than what an earlier process of this host
+// has answered by.
 func (c *Catalogue) Directory() (briarspring.Directory, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.directory, c.loaded
+	return c.directory, c.loaded && c.read
 }
 
 // OutOfService reports whether a data centre is out of service.
@@ -62,18 +71,31 @@
 	return c.outOfService[dataCentre]
 }
 
-// Restore applies the latest record of every key. Data centres without a record
-// return to service.
-func (c *Catalogue) Restore(records []briarspring.KeyedRecord, _ uint64) {
+// Records returns the newest known record of each key, with an empty value for keys that
+// were dropped, in order of key.
+func (c *Catalogue) Records() []briarspring.KeyedRecord {
 	c.mu.Lock()
-	before := c.outOfService
-	c.outOfService = map[string]bool{}
+	defer c.mu.Unlock()
+	var list []briarspring.KeyedRecord
+	for _, key := range slices.Sorted(maps.Keys(c.records)) {
+		list = append(list, c.records[key])
+	}
+	return list
+}
+
+// Restore applies the latest record of every key. Keys that are known from before end
+// and have no record were dropped: their data centres return to service.
+func (c *Catalogue) Restore(records []briarspring.KeyedRecord, end uint64) {
+	c.mu.Lock()
+	c.read = true
+	present := map[string]bool{}
 	for _, r := range records {
+		present[r.Key] = true
 		c.applyRecord(r)
 	}
-	for name := range before {
-		if !c.outOfService[name] {
-			c.config.Logger.Info("data centre is back in service", "data-centre", name)
+	for key, r := range c.records {
+		if !present[key] && r.Offset < end && len(r.Value) > 0 {
+			c.applyRecord(briarspring.KeyedRecord{Key: key, Offset: end - 1})
 		}
 	}
 	c.mu.Unlock()
@@ -83,6 +105,7 @@
 // Apply applies records in order.
 func (c *Catalogue) Apply(records []briarspring.KeyedRecord) {
 	c.mu.Lock()
+	c.read = true
 	for _, r := range records {
 		c.applyRecord(r)
 	}
@@ -90,8 +113,43 @@
 	c.config.OnChange()
 }
 
+// ApplyCopy applies a copy of a record from the shared stream.
+func (c *Catalogue) ApplyCopy(key string, value []byte) {
+	offset, err := encoder.DecodeDirectoryCopyOffset(value)
+	if err == nil && c.knows(key, offset) {
+		return
+	}
+	r, err := encoder.DecodeDirectoryCopy(key, value)
+	if err != nil {
+		c.config.Logger.Warn("ignoring invalid copy of the directory", "key", key, "error", err)
+		return
+	}
+	c.config.Logger.Info("directory record copied from the shared stream", "key", key, "offset", offset)
+	c.mu.Lock()
+	c.applyRecord(r)
+	c.mu.Unlock()
+	c.config.OnChange()
+}
+
+// knows reports whether the record of a key at an offset of the directory stream, or a
+// later one, was applied.
+func (c *Catalogue) knows(key string, offset uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.records[key]
+	return ok && r.Offset >= offset
+}
+
+// applyRecord applies a record unless a later one of its key was applied: copies may
+// arrive before the directory stream has been read up to their offset.
 func (c *Catalogue) applyRecord(r briarspring.KeyedRecord) {
+	if known, ok := c.records[r.Key]; ok && r.Offset < known.Offset {
+		return
+	}
+	// The value may be part of a larger response.
+	r.Value = bytes.Clone(r.Value)
 	if name, ok := c.config.Decoder.DecodeOutKey(r.Key); ok {
+		c.records[r.Key] = r
 		c.setOutOfService(name, len(r.Value) > 0)
 		return
 	}
@@ -104,8 +162,8 @@
 		return
 	}
 	c.config.Logger.Info("directory changed", "version", directory.Version, "before", c.directory.Version, "queues", len(directory.Queues))
-	c.directory = directory
-	c.loaded = true
+	c.directory, c.loaded = directory, true
+	c.records[r.Key] = r
 }
 
 func (c *Catalogue) setOutOfService(name string, out bool) {
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -22,6 +22,7 @@
 	prefixModel      = "p/"
 	prefixInventory  = "i/"
 	prefixEnd        = "e/"
+	prefixDirectory  = "d/"
 )
 
 // prefixKnownWorker is the prefix of workers' keys in progress streams. The other keys
@@ -82,6 +83,13 @@
 	return prefixRetire + dataCentre + "/" + strconv.FormatUint(token, 10)
 }
 
+// DirectoryKey returns the key of the copy of a record of the directory stream.
+func DirectoryKey(key string) string { return prefixDirectory + key }
+
+// CopiedDirectoryKey returns the key that a record of the directory stream has if key
+// is the key of its copy, and false otherwise.
+func CopiedDirectoryKey(key string) (string, bool) { return strings.CutPrefix(key, prefixDirectory) }
+
 // InventoryKey returns the key of a data centre's inventory.
 func InventoryKey(dataCentre string) string { return prefixInventory + dataCentre }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -80,6 +80,7 @@
 	longRunning map[string]int64                           // By data centre; see LongRunningMilliCPU.
 	models      map[string][]briarspring.InterferenceModel // By data centre.
 	inventories map[string]Inventory                       // By data centre.
+	directory   map[string]uint64                          // See DirectoryOffset.
 }
 
 // New returns the state before the first record.
@@ -92,6 +93,7 @@
 		longRunning: map[string]int64{},
 		models:      map[string][]briarspring.InterferenceModel{},
 		inventories: map[string]Inventory{},
+		directory:   map[string]uint64{},
 	}
 }
 
@@ -136,6 +138,14 @@
 	return all
 }
 
+// DirectoryOffset returns the offset in the directory stream of the record of a key that
+// the shared stream has a copy of: of the copy that was stored last, which may be late
+// and older than others. It returns false if there is none.
+func (r *Registry) DirectoryOffset(key string) (uint64, bool) {
+	offset, ok := r.directory[key]
+	return offset, ok
+}
+
 // Apply applies a record that was read at time now. It ignores records at
 // offsets that are already applied. Errors are *encoder.MalformedError.
 func (r *Registry) Apply(now time.Duration, rec briarspring.KeyedRecord) (Change, error) {
@@ -229,6 +239,12 @@
 		return Change{}, r.applyRetirement(now, rest, rec)
 	case prefixInventory:
 		return Change{}, r.applyInventory(rest, rec)
+	case prefixDirectory:
+		offset, err := encoder.DecodeDirectoryCopyOffset(rec.Value)
+		if err == nil {
+			r.directory[rest] = offset
+		}
+		return Change{}, err
 	case prefixModel:
 		models, err := encoder.DecodeInterferenceModels(rec.Value)
 		if err == nil {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -16,10 +16,17 @@
 // must read the whole state again.
 const maxPending = 4096
 
+// Directory receives the copies of the directory's records that hosts write to the
+// shared stream before what they decided by them.
+type Directory interface {
+	ApplyCopy(key string, value []byte)
+}
+
 // Config holds the settings of a Replica.
 type Config struct {
-	Now    func() time.Duration
-	Logger hclog.Logger
+	Directory Directory // Optional.
+	Now       func() time.Duration
+	Logger    hclog.Logger
 }
 
 // Replica is a host's replica of the shared state. It implements tracker.Sink.
@@ -50,6 +57,9 @@
 func (r *Replica) Restore(records []briarspring.KeyedRecord, end uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, rec := range records {
+		r.applyDirectoryCopy(rec)
+	}
 	changes, errs := r.registry.Restore(r.config.Now(), records, end)
 	for _, err := range errs {
 		r.config.Logger.Warn("ignoring malformed record", "error", err)
@@ -67,6 +77,7 @@
 	defer r.mu.Unlock()
 	now := r.config.Now()
 	for _, rec := range records {
+		r.applyDirectoryCopy(rec)
 		change, err := r.registry.Apply(now, rec)
 		if err != nil {
 			r.config.Logger.Warn("ignoring malformed record", "key", rec.Key, "offset", rec.Offset, "error", err)
@@ -83,6 +94,14 @@
 	}
 }
 
+// applyDirectoryCopy passes on a copy of a record of the directory. Callers hold mu, so
+// that nobody sees a decision without the directory that it was made under.
+func (r *Replica) applyDirectoryCopy(rec briarspring.KeyedRecord) {
+	if key, ok := registrar.CopiedDirectoryKey(rec.Key); ok && r.config.Directory != nil {
+		r.config.Directory.ApplyCopy(key, rec.Value)
+	}
+}
+
 // Subscription queues changes for one subscriber.
 type Subscription struct {
 	replica *Replica
