--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -210,6 +210,8 @@
 		a.config.Logger.Info("submission repeated", "workflow", w.ID)
 		return nil
 	}
+	// The queue was found by this version or, at most, by an earlier one.
+	version := a.directoryVersion()
 	w.Queue, w.Service, w.Priority = q.Name, q.Service, q.Priority
 	w.MaxAttempts, w.Stretch, w.Allowance = q.MaxAttempts, q.Stretch, q.Allowance
 	w.Submitted = time.Now()
@@ -218,7 +220,7 @@
 	}
 	if err := a.admit(q, w); err != nil {
 		age, _ := a.config.Reading.Age()
-		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "directory-version", a.directoryVersion(),
+		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "directory-version", version,
 			"state-age-ms", age.Milliseconds(), "error", err)
 		return err
 	}
@@ -234,7 +236,7 @@
 	})
 	age, _ := a.config.Reading.Age()
 	a.config.Logger.Info("submission", "workflow", w.ID, "queue", q.Name, "data-centre", w.DataCentre, "tasks", w.TaskCount(),
-		"directory-version", a.directoryVersion(), "state-age-ms", age.Milliseconds(), "took-ms", time.Since(w.Submitted).Milliseconds(), "stored", err == nil, "error", err)
+		"directory-version", version, "state-age-ms", age.Milliseconds(), "took-ms", time.Since(w.Submitted).Milliseconds(), "stored", err == nil, "error", err)
 	return err
 }
 
