admitter: a host that can't read the directory doesn't answer "no such queue"

Callers got 404 for a queue that exists from a host that had not been able to read the directory for seconds, as if it knew; a 404 is final for them. Cause: only the age of the shared state is looked at, never that of the directory. Such a host now refuses what it doesn't find, with 503 and when to come back; queues that it knows are served as before, and it stays ready. TestUnknownQueueWithoutTheDirectory failed before with UnknownQueueError.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -61,8 +61,9 @@
 }
 
 const (
-	// staleAge is the age of the shared state from which the log counts as out of
-	// reach: reads wait up to 1 s and take up to 0.8 s through a slow store.
+	// staleAge is the age of the shared state, or of the directory, from which the log
+	// counts as out of reach: reads wait up to 1 s and take up to 0.8 s through a slow
+	// store.
 	staleAge = 2200 * time.Millisecond
 	// retryPause is the pause between two attempts to store a record.
 	retryPause = 60 * time.Millisecond
@@ -109,14 +110,19 @@
 }
 
 // Reachable reports whether the shared state was read within staleAge.
-func (a *Admitter) Reachable() bool {
-	age, ok := a.config.Reading.Age()
+func (a *Admitter) Reachable() bool { return isFresh(a.config.Reading) }
+
+func isFresh(f Freshness) bool {
+	age, ok := f.Age()
 	return ok && age < staleAge
 }
 
 // retryAfter returns when a refused caller should try again.
-func (a *Admitter) retryAfter() time.Duration {
-	age, ok := a.config.Reading.Age()
+func (a *Admitter) retryAfter() time.Duration { return retryAfterRead(a.config.Reading) }
+
+// retryAfterRead returns when to try again what needs a read of a stream.
+func retryAfterRead(f Freshness) time.Duration {
+	age, ok := f.Age()
 	if !ok {
 		return minRetryAfter
 	}
@@ -135,8 +141,8 @@
 }
 
 // Find returns the queue with the longest matching prefix for a path, and the rest
-// of the path. The error is a *RefusedError if no directory was read yet, or an
-// *UnknownQueueError.
+// of the path. The error is an *UnknownQueueError, or a *RefusedError if the directory
+// is too old to tell.
 func (a *Admitter) Find(host, path string) (queue briarspring.Queue, rest string, err error) {
 	directory, ok := a.config.Catalogue.Directory()
 	if !ok {
@@ -151,13 +157,22 @@
 	if !found {
 		age, _ := a.config.DirectoryReading.Age()
 		a.config.Logger.Info("unknown queue", "host", host, "path", path, "directory-version", directory.Version, "directory-age-ms", age.Milliseconds())
-		return briarspring.Queue{}, "", &UnknownQueueError{Host: host, Path: path}
+		return briarspring.Queue{}, "", a.notFound(&UnknownQueueError{Host: host, Path: path})
 	}
 	return queue, path[len(queue.Prefix):], nil
 }
 
-// Queue returns the queue with a name. The error is a *RefusedError if no
-// directory was read yet, or a *briarspring.NotFoundError.
+// notFound returns err, or a *RefusedError if the directory may since have got what
+// was not found: another host may know it.
+func (a *Admitter) notFound(err error) error {
+	if isFresh(a.config.DirectoryReading) {
+		return err
+	}
+	return &RefusedError{Reason: "the directory is out of reach", RetryAfter: retryAfterRead(a.config.DirectoryReading)}
+}
+
+// Queue returns the queue with a name. The error is a *briarspring.NotFoundError, or a
+// *RefusedError if the directory is too old to tell.
 func (a *Admitter) Queue(name string) (briarspring.Queue, error) {
 	directory, ok := a.config.Catalogue.Directory()
 	if !ok {
@@ -168,7 +183,7 @@
 			return q, nil
 		}
 	}
-	return briarspring.Queue{}, &briarspring.NotFoundError{Object: "queue/" + name}
+	return briarspring.Queue{}, a.notFound(&briarspring.NotFoundError{Object: "queue/" + name})
 }
 
 // Directory returns the operators' configuration of queues, or false if none was
--- a/assembler/directory_test.go
+++ b/assembler/directory_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"briarspring"
+	"briarspring/admitter"
 	"briarspring/imitator"
 )
 
@@ -79,3 +80,26 @@
 		assertNoViolations(t, f)
 	}, tartu)
 }
+
+// Guards against a host that answers "no such queue" as if it knew, when it has not been
+// able to read the directory for seconds.
+func TestUnknownQueueWithoutTheDirectory(t *testing.T) {
+	inVirtualTime(t, "one host can't read the directory", func(t *testing.T, f *fleet) {
+		h := f.host(tartu, 1)
+		end := f.loseDirectory(h)
+		time.Sleep(3 * time.Second)
+		_, _, err := h.intake.Find(addedQueue.Host, addedQueue.Prefix)
+		var refused *admitter.RefusedError
+		require.ErrorAs(t, err, &refused)
+		assert.Positive(t, refused.RetryAfter)
+		_, err = h.intake.Queue(addedQueue.Name)
+		assert.ErrorAs(t, err, &refused)
+		_, _, err = h.intake.Find(testQueue.Host, testQueue.Prefix)
+		assert.NoError(t, err, "queues that it knows are served")
+		end()
+		time.Sleep(2 * time.Second)
+		_, _, err = h.intake.Find(addedQueue.Host, addedQueue.Prefix)
+		var unknown *admitter.UnknownQueueError
+		assert.ErrorAs(t, err, &unknown)
+	}, tartu)
+}
