--- a/assembler/directory_test.go
+++ b/assembler/directory_test.go
@@ -81,6 +81,33 @@
 	}, tartu)
 }
 
+// Guards against an owner that goes on starting tasks in a data centre that was taken out
+// of service, because it can't read the directory itself.
+func TestOutOfServiceWithoutTheDirectory(t *testing.T) {
+	inVirtualTime(t, "the owner can't read the directory", func(t *testing.T, f *fleet) {
+		const id = "0000000000000044"
+		owner := f.owner(tartu)
+		defer f.loseDirectory(owner)()
+		second := shortStep(2, 0)
+		second.Estimate = 5 * time.Second
+		f.mu.Lock()
+		f.workflows[id] = &briarspring.Workflow{ID: id, Steps: []briarspring.Step{shortStep(1), second}, MaxAttempts: testQueue.MaxAttempts}
+		f.mu.Unlock()
+		require.NoError(t, owner.intake.Submit(t.Context(), testQueue, &briarspring.Workflow{ID: id, Steps: []briarspring.Step{shortStep(1), second}}))
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, tartu, f.centreOf(id))
+		f.store.Put(briarspring.DirectoryStream, imitator.OutOfServiceRecord(tartu, true))
+		task := briarspring.TaskRef{Workflow: id, Step: 1}
+		require.Eventually(t, func() bool { return f.pool.Running(task) > 0 }, 10*time.Second, 10*time.Millisecond)
+		for _, e := range f.pool.Entries() {
+			if f.pool.RunsOn(e.ID, task) {
+				assert.NotEqual(t, tartu, e.DataCentre)
+			}
+		}
+		assertNoViolations(t, f)
+	}, tartu, viljandi)
+}
+
 // Guards against a host that answers "no such queue" as if it knew, when it has not been
 // able to read the directory for seconds.
 func TestUnknownQueueWithoutTheDirectory(t *testing.T) {
