--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -225,7 +225,7 @@
 		a.config.Logger.Info("submission repeated", "workflow", w.ID)
 		return nil
 	}
-	// The queue was found by this version or, at most, by an earlier one.
+	// The queue may have been found in an earlier version, not in a later one.
 	version := a.directoryVersion()
 	w.Queue, w.Service, w.Priority = q.Name, q.Service, q.Priority
 	w.MaxAttempts, w.Stretch, w.Allowance = q.MaxAttempts, q.Stretch, q.Allowance
--- a/cataloguer/cataloguer.go
+++ b/cataloguer/cataloguer.go
@@ -38,9 +38,9 @@
 
 	mu           sync.Mutex
 	directory    briarspring.Directory
-	loaded       bool // There is a directory.
-	read         bool // The directory stream itself was read.
-	records      map[string]briarspring.KeyedRecord
+	loaded       bool                               // There is a directory.
+	read         bool                               // The directory stream itself was read.
+	records      map[string]briarspring.KeyedRecord // See Records.
 	outOfService map[string]bool
 }
 
