--- a/assembler/directory_history_test.go
+++ b/assembler/directory_history_test.go
@@ -20,14 +20,14 @@
 // watchedWorkers reports the starts of one host that workers accept.
 type watchedWorkers struct {
 	*imitator.PoolClient
-	fleet  *fleet
-	caller string
+	fleet *fleet
+	host  string
 }
 
 func (w *watchedWorkers) Start(ctx context.Context, address, id string, o briarspring.StartOrder) error {
 	err := w.PoolClient.Start(ctx, address, id, o)
 	if err == nil && w.fleet.onStart != nil {
-		w.fleet.onStart(w.caller, o.Run)
+		w.fleet.onStart(w.host, o.Run)
 	}
 	return err
 }
@@ -48,11 +48,11 @@
 )
 
 func (h *directoryHistory) run(t *testing.T) {
-	h.onStart = func(caller string, run briarspring.RunRef) {
+	h.onStart = func(host string, run briarspring.RunRef) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if w := h.workflows[run.Task.Workflow]; w != nil {
-			h.watch.Started(caller, w.Queue, time.Now())
+			h.watch.Started(host, w.Queue, time.Now())
 		}
 	}
 	var parts sync.WaitGroup
@@ -134,15 +134,16 @@
 			for _, name := range h.watch.Recent() {
 				_, _, err := host.intake.Find(testQueue.Host, "/"+name+"/")
 				if _, refused := err.(*admitter.RefusedError); !refused {
-					h.watch.Answered(host.caller, name, err == nil, time.Now(), time.Now())
+					h.watch.Answered(host.name, name, err == nil, time.Now(), time.Now())
 				}
 			}
 		}
 	}
 }
 
-// TestDirectoryHistories checks in random histories that no process starts tasks or
-// answers by a version of the directory and then answers by an older one.
+// TestDirectoryHistories checks in random histories that no host starts tasks or
+// answers by a version of the directory and then answers by an older one, its later
+// processes included.
 func TestDirectoryHistories(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+*histories/10; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -43,8 +43,8 @@
 	failing    map[briarspring.TaskRef]int     // Number of runs that fail before one succeeds.
 	crashing   map[briarspring.WorkflowID]bool // Their first task crashes each worker that starts it.
 	hosts      map[string]*testHost
-	onStart    func(caller string, run briarspring.RunRef) // Called when a worker has accepted a start; may be nil.
-	numbers    map[string]int                              // Of the machines that replaced others for good, by the name of the first one.
+	onStart    func(host string, run briarspring.RunRef) // Called when a worker has accepted a start; may be nil.
+	numbers    map[string]int                            // Of the machines that replaced others for good, by the name of the first one.
 	hostStarts int
 	goroutines sync.WaitGroup
 }
@@ -182,7 +182,7 @@
 	l, h.intake = assembler.NewHostCore(assembler.HostConfig{
 		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: f.size.cpu(number), MaxLease: 6 * time.Second, StopTime: 3 * time.Second,
 		FinalRetention: 120 * time.Second, MaxRecordBytes: imitator.MaxRecordBytes,
-		Store: f.store.Client(h.caller), Workers: &watchedWorkers{PoolClient: f.pool.Client(h.caller), fleet: f, caller: h.caller}, Decoder: imitator.Decoder{},
+		Store: f.store.Client(h.caller), Workers: &watchedWorkers{PoolClient: f.pool.Client(h.caller), fleet: f, host: name}, Decoder: imitator.Decoder{},
 		Now: func() time.Duration { return time.Since(f.began) }, Logger: f.logger(h),
 	})
 	f.mu.Lock()
--- a/imitator/downgrade.go
+++ b/imitator/downgrade.go
@@ -8,7 +8,7 @@
 )
 
 // DowngradeSlack is the time from an effect of a version of the directory to questions
-// that the same process must not answer by an older one any more, as on the platform.
+// that the same host must not answer by an older one any more, as on the platform.
 const DowngradeSlack = 250 * time.Millisecond
 
 // maxVersionQueues is the number of queues that changes add and have not dropped yet.
@@ -20,17 +20,17 @@
 	Queues  []string // Oldest first.
 }
 
-// DirectoryWatch makes versions of a directory, and records violations by processes that
+// DirectoryWatch makes versions of a directory, and records violations by hosts that
 // go back to an older one in what they answer.
 type DirectoryWatch struct {
 	mu         sync.Mutex
 	versions   []DirectoryVersion
-	floors     map[string][]versionFloor // By process, in order of time.
+	floors     map[string][]versionFloor // By host, in order of time.
 	violations []string
 	answers    int
 }
 
-// versionFloor is the oldest version that a process may follow from a time on.
+// versionFloor is the oldest version that a host may follow from a time on.
 type versionFloor struct {
 	since   time.Time
 	version uint64
@@ -72,23 +72,23 @@
 	return names
 }
 
-// Started records that a task of a queue was started by a process.
-func (w *DirectoryWatch) Started(process, queue string, at time.Time) {
+// Started records that a task of a queue was started by a host.
+func (w *DirectoryWatch) Started(host, queue string, at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if v, ok := w.oldest(0, queue, true); ok {
-		w.raise(process, v, at)
+		w.raise(host, v, at)
 	}
 }
 
-// Answered compares a process's answer on whether a queue exists with what the process
-// followed before the question was sent.
-func (w *DirectoryWatch) Answered(process, queue string, found bool, sent, received time.Time) {
+// Answered compares a host's answer on whether a queue exists with what the host followed
+// before the question was sent.
+func (w *DirectoryWatch) Answered(host, queue string, found bool, sent, received time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answers++
 	floor := uint64(0)
-	for _, f := range w.floors[process] {
+	for _, f := range w.floors[host] {
 		if f.since.Add(DowngradeSlack).Before(sent) {
 			floor = f.version
 		}
@@ -96,10 +96,10 @@
 	v, ok := w.oldest(floor, queue, found)
 	if !ok {
 		w.violations = append(w.violations, fmt.Sprintf("%s went back: it followed version %d or newer, and answers for queue %s, found %t, as only older versions allow",
-			process, floor, queue, found))
+			host, floor, queue, found))
 		return
 	}
-	w.raise(process, v, received)
+	w.raise(host, v, received)
 }
 
 // oldest returns the oldest version from a floor on that has a queue, or hasn't.
@@ -112,10 +112,10 @@
 	return 0, false
 }
 
-func (w *DirectoryWatch) raise(process string, version uint64, at time.Time) {
-	floors := w.floors[process]
+func (w *DirectoryWatch) raise(host string, version uint64, at time.Time) {
+	floors := w.floors[host]
 	if len(floors) == 0 || floors[len(floors)-1].version < version {
-		w.floors[process] = append(floors, versionFloor{since: at, version: version})
+		w.floors[host] = append(floors, versionFloor{since: at, version: version})
 	}
 }
 
