--- a/assembler/directory_history_test.go
+++ b/assembler/directory_history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -43,8 +44,16 @@
 
 const (
 	directoryHistoryTime = 20 * time.Second
-	directoryChangeTime  = 900 * time.Millisecond // Longest time between two changes.
-	directoryOutageTime  = 6 * time.Second
+	directoryOutageTime  = 6 * time.Second // Of one stream for one host, at most.
+	directoryDownTime    = 2 * time.Second // Of a host that is killed, at most.
+	// Longest times between two events of a kind.
+	directoryChangeInterval = 900 * time.Millisecond
+	directoryOutageInterval = 1200 * time.Millisecond
+	directoryKillInterval   = 9 * time.Second
+	directoryTrimInterval   = 7 * time.Second
+	directoryLossInterval   = 8 * time.Second
+	directorySubmitInterval = 120 * time.Millisecond
+	directoryAskInterval    = 60 * time.Millisecond
 )
 
 func (h *directoryHistory) run(t *testing.T) {
@@ -66,17 +75,19 @@
 			}
 		})
 	}
-	every(directoryChangeTime, func(random *rand.Rand) {
+	every(directoryChangeInterval, func(random *rand.Rand) {
 		h.watch.Next(1+random.Uint64N(3), random.IntN(2) == 0, func(v imitator.DirectoryVersion) { h.writeDirectory(t, v) })
 	})
-	every(1200*time.Millisecond, h.loseStream)
-	every(9*time.Second, func(random *rand.Rand) { h.kill(h.anyHost(random), time.Duration(random.Int64N(int64(2*time.Second)))) })
-	every(7*time.Second, func(*rand.Rand) { h.store.TrimHistory() })
-	every(8*time.Second, func(random *rand.Rand) {
+	every(directoryOutageInterval, h.loseStream)
+	every(directoryKillInterval, func(random *rand.Rand) {
+		h.kill(h.anyHost(random), time.Duration(random.Int64N(int64(directoryDownTime))))
+	})
+	every(directoryTrimInterval, func(*rand.Rand) { h.store.TrimHistory() })
+	every(directoryLossInterval, func(random *rand.Rand) {
 		h.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond, LostAnswerShare: 0.3 * random.Float64(), LateAppendShare: 0.5})
 	})
-	every(120*time.Millisecond, h.submitToAdded)
-	every(60*time.Millisecond, func(*rand.Rand) { h.askAll() })
+	every(directorySubmitInterval, h.submitToAdded)
+	every(directoryAskInterval, func(*rand.Rand) { h.askAll() })
 	parts.Wait()
 }
 
@@ -133,7 +144,8 @@
 			host := h.host(centre, i)
 			for _, name := range h.watch.Recent() {
 				_, _, err := host.intake.Find(testQueue.Host, "/"+name+"/")
-				if _, refused := err.(*admitter.RefusedError); !refused {
+				var refused *admitter.RefusedError
+				if !errors.As(err, &refused) {
 					h.watch.Answered(host.name, name, err == nil, time.Now(), time.Now())
 				}
 			}
