Copies of the directory have a key for each record, so that an older one hides no newer one

Cause: the store keeps the newest record of a key. A host that can't read the shared stream goes on copying what it knows, and an append may be stored late; such an older copy replaced the newer one for all that restore from the newest records. Read-along hosts took no harm. Ruled out: an older directory in one process, and an owner that reads the stream in another order.

The key of a copy has the offset of the record now; whoever writes a newer copy drops the older ones in the same append. The new case of TestCopier failed before (version 6, expected 7).

--- a/cataloguer/copier.go
+++ b/cataloguer/copier.go
@@ -1,6 +1,7 @@
 package cataloguer
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -51,26 +52,34 @@
 	return &Copier{config: c, encoded: map[string]directoryCopy{}}
 }
 
-// Records returns copies of the records that the shared stream lacks.
+// Records returns copies of the records that the shared stream lacks, and records that
+// drop its older copies of the same keys.
 func (c *Copier) Records() []briarspring.KeyedRecord {
 	known := c.config.Catalogue.Records()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var missing []briarspring.KeyedRecord
+	older := map[string][]uint64{}
 	c.config.Replica.View(func(r *registrar.Registry) {
 		for _, rec := range known {
 			if c.lacks(r, rec) {
 				missing = append(missing, rec)
+				older[rec.Key] = slices.Clone(r.DirectoryCopies(rec.Key))
 			}
 		}
 	})
-	var copies []briarspring.KeyedRecord
+	var list []briarspring.KeyedRecord
 	for _, rec := range missing {
-		if e, ok := c.encode(rec); ok {
-			copies = append(copies, briarspring.KeyedRecord{Key: registrar.DirectoryKey(rec.Key), Value: e.value})
+		e, ok := c.encode(rec)
+		if !ok {
+			continue
+		}
+		list = append(list, briarspring.KeyedRecord{Key: registrar.DirectoryKey(rec.Key, rec.Offset), Value: e.value})
+		for _, offset := range older[rec.Key] {
+			list = append(list, briarspring.KeyedRecord{Key: registrar.DirectoryKey(rec.Key, offset)})
 		}
 	}
-	return copies
+	return list
 }
 
 // lacks reports whether the shared stream has no copy of a record or of a later one of
@@ -79,11 +88,11 @@
 	if e := c.encoded[rec.Key]; e.stored && e.offset == rec.Offset && r.Applied() < c.storedEnd {
 		return false
 	}
-	offset, ok := r.DirectoryOffset(rec.Key)
-	if !ok {
+	copies := r.DirectoryCopies(rec.Key)
+	if len(copies) == 0 {
 		return len(rec.Value) > 0
 	}
-	return offset < rec.Offset
+	return copies[len(copies)-1] < rec.Offset
 }
 
 // encode returns the copy of a record, and false if the log can't store it.
@@ -97,7 +106,7 @@
 		return directoryCopy{}, false
 	}
 	e := directoryCopy{offset: rec.Offset, value: value}
-	bytes := 1 + len(registrar.DirectoryKey(rec.Key)) + len(value)
+	bytes := 1 + len(registrar.DirectoryKey(rec.Key, rec.Offset)) + len(value)
 	if e.tooLarge = c.config.MaxRecordBytes > 0 && bytes > c.config.MaxRecordBytes; e.tooLarge {
 		c.config.Logger.Warn("the directory is too large to be copied", "key", rec.Key, "bytes", bytes)
 	}
@@ -105,14 +114,13 @@
 	return e, !e.tooLarge
 }
 
-// Stored records that the shared stream has copies that Records returned.
-func (c *Copier) Stored(copies []briarspring.KeyedRecord, next uint64) {
+// Stored records that the shared stream has what Records returned.
+func (c *Copier) Stored(records []briarspring.KeyedRecord, next uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, r := range copies {
-		key, _ := registrar.CopiedDirectoryKey(r.Key)
-		offset, err := encoder.DecodeDirectoryCopyOffset(r.Value)
-		if e := c.encoded[key]; err == nil && e.offset == offset {
+	for _, r := range records {
+		key, offset, _ := registrar.ParseDirectoryKey(r.Key)
+		if e := c.encoded[key]; len(r.Value) > 0 && e.offset == offset {
 			e.stored = true
 			c.encoded[key] = e
 		}
--- a/cataloguer/copier_test.go
+++ b/cataloguer/copier_test.go
@@ -1,6 +1,8 @@
 package cataloguer_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,7 +48,7 @@
 func copyOf(t *testing.T, offset uint64, key, value string) briarspring.KeyedRecord {
 	data, err := encoder.EncodeDirectoryCopy(briarspring.KeyedRecord{Value: []byte(value), Offset: offset})
 	require.NoError(t, err)
-	return briarspring.KeyedRecord{Key: registrar.DirectoryKey(key), Value: data}
+	return briarspring.KeyedRecord{Key: registrar.DirectoryKey(key, offset), Value: data}
 }
 
 func assertCopies(t *testing.T, s *sharedStream, want ...briarspring.KeyedRecord) {
@@ -64,7 +66,10 @@
 		s.read(s.copier.Records()...)
 		assertCopies(t, s)
 		s.change(5, "out/tartu", "")
-		assertCopies(t, s, copyOf(t, 5, "out/tartu", ""))
+		dropped := briarspring.KeyedRecord{Key: registrar.DirectoryKey("out/tartu", 4)}
+		assertCopies(t, s, copyOf(t, 5, "out/tartu", ""), dropped)
+		s.read(s.copier.Records()...)
+		assertCopies(t, s)
 	})
 	t.Run("a copy that is stored and not read yet isn't repeated", func(t *testing.T) {
 		s := newSharedStream(0)
@@ -75,13 +80,20 @@
 		s.read(copies...)
 		assertCopies(t, s)
 	})
-	// The store keeps the newest record of a key for those that start later.
-	t.Run("a copy that is stored late is replaced by the newest", func(t *testing.T) {
+	// A host that can't read the shared stream goes on copying what it knows.
+	t.Run("an older copy that is stored last hides no newer one", func(t *testing.T) {
+		ahead, behind := newSharedStream(0), newSharedStream(0)
+		ahead.change(3, "directory", "7")
+		behind.change(2, "directory", "6")
+		newest := map[string]briarspring.KeyedRecord{}
+		for i, r := range slices.Concat(ahead.copier.Records(), behind.copier.Records()) {
+			r.Offset = uint64(i)
+			newest[r.Key] = r
+		}
 		s := newSharedStream(0)
-		s.change(3, "directory", "7")
-		s.read(copyOf(t, 3, "directory", "7"), copyOf(t, 2, "directory", "6"))
+		s.change(1, "directory", "5")
+		s.replica.Restore(slices.Collect(maps.Values(newest)), 2)
 		assertVersion(t, 7, s.catalogue)
-		assertCopies(t, s, copyOf(t, 3, "directory", "7"))
 	})
 	t.Run("a directory that is too large is left out", func(t *testing.T) {
 		s := newSharedStream(5)
@@ -106,7 +118,7 @@
 	})
 	t.Run("alone answer no callers", func(t *testing.T) {
 		s := newSharedStream(0)
-		s.read(copyOf(t, 9, "directory", "8"), copyOf(t, 10, "out/tartu", "{}"), briarspring.KeyedRecord{Key: registrar.DirectoryKey("directory"), Value: []byte("x")})
+		s.read(copyOf(t, 9, "directory", "8"), copyOf(t, 10, "out/tartu", "{}"), briarspring.KeyedRecord{Key: registrar.DirectoryKey("directory", 11), Value: []byte("x")})
 		_, known := s.catalogue.Directory()
 		assert.False(t, known)
 		assert.True(t, s.catalogue.OutOfService("tartu"))
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -83,12 +83,23 @@
 	return prefixRetire + dataCentre + "/" + strconv.FormatUint(token, 10)
 }
 
-// DirectoryKey returns the key of the copy of a record of the directory stream.
-func DirectoryKey(key string) string { return prefixDirectory + key }
+// DirectoryKey returns the key of the copy of a record of the directory stream. It has the
+// record's offset, so that a copy that is stored late does not replace a newer one.
+func DirectoryKey(key string, offset uint64) string {
+	return prefixDirectory + key + "/" + strconv.FormatUint(offset, 10)
+}
 
-// CopiedDirectoryKey returns the key that a record of the directory stream has if key
-// is the key of its copy, and false otherwise.
-func CopiedDirectoryKey(key string) (string, bool) { return strings.CutPrefix(key, prefixDirectory) }
+// ParseDirectoryKey returns the key and the offset of the record that a copy is of, or
+// false if the key is not a copy's.
+func ParseDirectoryKey(copyKey string) (key string, offset uint64, ok bool) {
+	rest, ok := strings.CutPrefix(copyKey, prefixDirectory)
+	last := strings.LastIndexByte(rest, '/')
+	if !ok || last < 0 {
+		return "", 0, false
+	}
+	offset, err := strconv.ParseUint(rest[last+1:], 10, 64)
+	return rest[:last], offset, err == nil
+}
 
 // InventoryKey returns the key of a data centre's inventory.
 func InventoryKey(dataCentre string) string { return prefixInventory + dataCentre }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -80,7 +80,7 @@
 	longRunning map[string]int64                           // By data centre; see LongRunningMilliCPU.
 	models      map[string][]briarspring.InterferenceModel // By data centre.
 	inventories map[string]Inventory                       // By data centre.
-	directory   map[string]uint64                          // See DirectoryOffset.
+	directory   map[string][]uint64                        // See DirectoryCopies.
 }
 
 // New returns the state before the first record.
@@ -93,7 +93,7 @@
 		longRunning: map[string]int64{},
 		models:      map[string][]briarspring.InterferenceModel{},
 		inventories: map[string]Inventory{},
-		directory:   map[string]uint64{},
+		directory:   map[string][]uint64{},
 	}
 }
 
@@ -138,12 +138,22 @@
 	return all
 }
 
-// DirectoryOffset returns the offset in the directory stream of the record of a key that
-// the shared stream has a copy of: of the copy that was stored last, which may be late
-// and older than others. It returns false if there is none.
-func (r *Registry) DirectoryOffset(key string) (uint64, bool) {
-	offset, ok := r.directory[key]
-	return offset, ok
+// DirectoryCopies returns the offsets, in ascending order, of those records of a key of
+// the directory stream that the shared stream has copies of.
+func (r *Registry) DirectoryCopies(key string) []uint64 { return r.directory[key] }
+
+func (r *Registry) applyDirectoryCopy(rec briarspring.KeyedRecord) {
+	key, offset, ok := ParseDirectoryKey(rec.Key)
+	if !ok {
+		return
+	}
+	i, found := slices.BinarySearch(r.directory[key], offset)
+	switch dropped := len(rec.Value) == 0; {
+	case found && dropped:
+		r.directory[key] = slices.Delete(r.directory[key], i, i+1)
+	case !found && !dropped:
+		r.directory[key] = slices.Insert(r.directory[key], i, offset)
+	}
 }
 
 // Apply applies a record that was read at time now. It ignores records at
@@ -166,6 +176,7 @@
 // depends on their order; the caller passes them to Apply, which receives
 // everything from end on.
 func (r *Registry) Restore(now time.Duration, records []briarspring.KeyedRecord, end uint64) ([]Change, []error) {
+	clear(r.directory)
 	records = slices.Clone(records)
 	slices.SortFunc(records, func(a, b briarspring.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	kept := map[briarspring.WorkflowID]bool{}
@@ -212,6 +223,10 @@
 		return Change{}, nil
 	}
 	kind += "/"
+	if kind == prefixDirectory {
+		r.applyDirectoryCopy(rec)
+		return Change{}, nil
+	}
 	if len(rec.Value) == 0 {
 		if kind == prefixSubmission {
 			r.removeWorkflow(workflowIDOf(rest))
@@ -239,12 +254,6 @@
 		return Change{}, r.applyRetirement(now, rest, rec)
 	case prefixInventory:
 		return Change{}, r.applyInventory(rest, rec)
-	case prefixDirectory:
-		offset, err := encoder.DecodeDirectoryCopyOffset(rec.Value)
-		if err == nil {
-			r.directory[rest] = offset
-		}
-		return Change{}, err
 	case prefixModel:
 		models, err := encoder.DecodeInterferenceModels(rec.Value)
 		if err == nil {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -97,7 +97,7 @@
 // applyDirectoryCopy passes on a copy of a record of the directory. Callers hold mu, so
 // that nobody sees a decision without the directory that it was made under.
 func (r *Replica) applyDirectoryCopy(rec briarspring.KeyedRecord) {
-	if key, ok := registrar.CopiedDirectoryKey(rec.Key); ok && r.config.Directory != nil {
+	if key, _, ok := registrar.ParseDirectoryKey(rec.Key); ok && len(rec.Value) > 0 && r.config.Directory != nil {
 		r.config.Directory.ApplyCopy(key, rec.Value)
 	}
 }
