cataloguer: the case of a late copy is back, in its new form; why it had gone

What was lost with the old case is the host that reads along: it must keep its version, write nothing for the late copy, and drop it with the next change. That is asserted again.

--- a/cataloguer/copier_test.go
+++ b/cataloguer/copier_test.go
@@ -95,6 +95,20 @@
 		s.replica.Restore(slices.Collect(maps.Values(newest)), 2)
 		assertVersion(t, 7, s.catalogue)
 	})
+	t.Run("a copy that is stored late is dropped with the next change", func(t *testing.T) {
+		s := newSharedStream(0)
+		s.change(3, "directory", "7")
+		s.read(copyOf(t, 3, "directory", "7"), copyOf(t, 2, "directory", "6"))
+		assertVersion(t, 7, s.catalogue)
+		assertCopies(t, s)
+		s.change(4, "directory", "8")
+		drop := func(offset uint64) briarspring.KeyedRecord {
+			return briarspring.KeyedRecord{Key: registrar.DirectoryKey("directory", offset)}
+		}
+		assertCopies(t, s, copyOf(t, 4, "directory", "8"), drop(2), drop(3))
+		s.read(s.copier.Records()...)
+		assertCopies(t, s)
+	})
 	t.Run("a directory that is too large is left out", func(t *testing.T) {
 		s := newSharedStream(5)
 		s.change(3, "directory", "7")
--- a/imitator/downgrade.go
+++ b/imitator/downgrade.go
@@ -11,6 +11,9 @@
 // that the same host must not answer by an older one any more, as on the platform.
 const DowngradeSlack = 250 * time.Millisecond
 
+// recentVersions is the number of versions whose queues Recent returns.
+const recentVersions = 4
+
 // maxVersionQueues is the number of queues that changes add and have not dropped yet.
 const maxVersionQueues = 3
 
@@ -62,7 +65,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var names []string
-	for _, v := range w.versions[max(0, len(w.versions)-4):] {
+	for _, v := range w.versions[max(0, len(w.versions)-recentVersions):] {
 		for _, q := range v.Queues {
 			if !slices.Contains(names, q) {
 				names = append(names, q)
