Domain types and messages of organisations, their keys and quotas

Organisations of the operators' directory, digests of their keys, the organisation of a workflow, and the records by which parts of a limit move between data centres. Nothing uses them yet.

--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -19,6 +19,7 @@
 		Queue: w.Queue, Service: w.Service, Specification: w.Specification,
 		Priority: int32(w.Priority), MaxAttempts: int32(w.MaxAttempts), Stretch: w.Stretch,
 		AllowanceMs: w.Allowance.Milliseconds(), DataCentre: w.DataCentre, SubmittedMs: w.Submitted.UnixMilli(),
+		Organisation: w.Organisation,
 	}
 	m.Steps = EncodeSteps(w.Steps)
 	m.Recurrence = EncodeRecurrence(w.Recurrence)
@@ -82,6 +83,7 @@
 		Priority: int(m.Priority), MaxAttempts: int(m.MaxAttempts), Stretch: m.Stretch,
 		Allowance:  time.Duration(m.AllowanceMs) * time.Millisecond,
 		DataCentre: m.DataCentre, Submitted: time.UnixMilli(m.SubmittedMs),
+		Organisation: m.Organisation,
 	}
 	var err error
 	if w.Recurrence, err = DecodeRecurrence(m.Recurrence); err != nil {
--- /dev/null
+++ b/organisation.go
@@ -0,0 +1,45 @@
+package briarspring
+
+import "crypto/sha256"
+
+// KeyDigest identifies an organisation's key without holding it.
+type KeyDigest [16]byte
+
+// DigestKey returns the digest of a key: the start of its SHA-256 hash. Keys are
+// random, so that 128 bits suffice.
+func DigestKey(key string) KeyDigest {
+	sum := sha256.Sum256([]byte(key))
+	return KeyDigest(sum[:len(KeyDigest{})])
+}
+
+// Organisation is a group of callers with a limit on what it has running.
+type Organisation struct {
+	Name   string
+	Keys   []KeyDigest
+	Weight float64   // Share of the fleet when all is full, relative to the others.
+	Limit  Resources // Limit on what runs in the whole fleet; a zero field is no limit.
+}
+
+// QuotaParts is the number of parts into which each organisation's limit is split.
+const QuotaParts = 10_000
+
+// QuotaPool names the data centres among which the parts of each limit are split
+// evenly at first.
+type QuotaPool struct {
+	DataCentres []string
+}
+
+// QuotaGrant records which parts of an organisation's limit a data centre has
+// given to others so far.
+type QuotaGrant struct {
+	Token        uint64 // Token of the giving data centre's owner.
+	DataCentre   string // The giving data centre.
+	Organisation string
+	Given        map[string]int // Parts by receiving data centre, in total since the first grant.
+}
+
+// QuotaRequest lists the parts that a data centre's waiting tasks need.
+type QuotaRequest struct {
+	Token uint64         // Token of the data centre's owner.
+	Parts map[string]int // By organisation.
+}
--- a/workflow.go
+++ b/workflow.go
@@ -28,6 +28,7 @@
 	MaxAttempts   int           // Failed runs of a task after which the workflow fails.
 	Stretch       float64       // Factor applied to the longest chain in the latency objective.
 	Allowance     time.Duration // Constant part of the latency objective.
+	Organisation  string        // Organisation of the caller; empty for none.
 	DataCentre    string        // Data centre that runs the workflow.
 	Submitted     time.Time     // Time by the accepting host's clock.
 	Recurrence    Recurrence    // The zero value runs the steps once, immediately.
@@ -174,12 +175,15 @@
 	Stretch           float64
 	Allowance         time.Duration
 	ExternallyAdvised bool // An external service selects the workers that may run a step.
+	Public            bool // Calls need no key.
 }
 
 // Directory is the operators' configuration of queues.
 type Directory struct {
-	Version uint64
-	Queues  []Queue
+	Version       uint64
+	Queues        []Queue
+	Organisations []Organisation
+	KeysRequired  bool // Calls on queues that aren't public need an organisation's key.
 }
 
 // TaskRef identifies a task of a workflow.
