Interference models in a stream that only owners read; inventories without workers

Every host reads the shared stream. Models have a stream of their own now, read by owners every two seconds and at a takeover, beside the progress. Inventories leave the workers out, as owners record them in the progress stream before they use them.

--- a/imitator/keyed.go
+++ b/imitator/keyed.go
@@ -22,6 +22,7 @@
 	streams  map[string]*keyedStream
 	pageSize int // Maximum number of records in an answer of Newest.
 	calls    int
+	received map[string]int // Bytes of records by caller.
 }
 
 // Limits of the platform's store.
@@ -33,6 +34,8 @@
 	maxAppendBytes = 2 << 20
 	// maxPageBytes is the largest answer of Newest.
 	maxPageBytes = 1 << 20
+	// lengthBytes is the length field before each record of a read.
+	lengthBytes = 4
 	// repeatedAppends is the number of appends of a writer that may be repeated.
 	repeatedAppends = 5
 )
@@ -83,7 +86,7 @@
 func NewKeyedStore(seed uint64) *KeyedStore {
 	return &KeyedStore{
 		random: rand.New(rand.NewPCG(seed, seed)), outages: map[*StreamOutage]bool{}, streams: map[string]*keyedStream{},
-		pageSize: defaultPageSize,
+		pageSize: defaultPageSize, received: map[string]int{},
 	}
 }
 
@@ -94,6 +97,21 @@
 	return s.calls
 }
 
+// Received returns the bytes of records that a caller has read so far.
+func (s *KeyedStore) Received(caller string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.received[caller]
+}
+
+func (s *KeyedStore) countReceived(caller string, records []briarspring.KeyedRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		s.received[caller] += lengthBytes + recordBytes(r)
+	}
+}
+
 // reachable reports whether the store takes the entries of workers.
 func (s *KeyedStore) reachable() bool {
 	s.mu.Lock()
@@ -302,6 +320,7 @@
 			return page, err
 		}
 		if len(page.Records) > 0 {
+			c.store.countReceived(c.caller, page.Records)
 			return page, c.deliver(ctx, "read", stream)
 		}
 		select {
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -19,7 +19,6 @@
 	prefixHeartbeat  = "b/"
 	prefixHost       = "h/"
 	prefixRetire     = "q/"
-	prefixModel      = "p/"
 	prefixInventory  = "i/"
 	prefixEnd        = "e/"
 	prefixDirectory  = "d/"
@@ -103,7 +102,3 @@
 
 // InventoryKey returns the key of a data centre's inventory.
 func InventoryKey(dataCentre string) string { return prefixInventory + dataCentre }
-
-// ModelKey returns the key of the interference models that a data centre's
-// owner has learned.
-func ModelKey(dataCentre string) string { return prefixModel + dataCentre }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -76,11 +75,10 @@
 	workflows   map[briarspring.WorkflowID]*Entry
 	owners      map[string]*ownership // By data centre.
 	hosts       map[string]briarspring.HostPresence
-	waiting     map[string]int                             // By queue.
-	longRunning map[string]int64                           // By data centre; see LongRunningMilliCPU.
-	models      map[string][]briarspring.InterferenceModel // By data centre.
-	inventories map[string]Inventory                       // By data centre.
-	directory   map[string][]uint64                        // See DirectoryCopies.
+	waiting     map[string]int       // By queue.
+	longRunning map[string]int64     // By data centre; see LongRunningMilliCPU.
+	inventories map[string]Inventory // By data centre.
+	directory   map[string][]uint64  // See DirectoryCopies.
 }
 
 // New returns the state before the first record.
@@ -91,7 +89,6 @@
 		hosts:       map[string]briarspring.HostPresence{},
 		waiting:     map[string]int{},
 		longRunning: map[string]int64{},
-		models:      map[string][]briarspring.InterferenceModel{},
 		inventories: map[string]Inventory{},
 		directory:   map[string][]uint64{},
 	}
@@ -128,16 +125,6 @@
 // second.
 func (r *Registry) LongRunningMilliCPU(dataCentre string) int64 { return r.longRunning[dataCentre] }
 
-// InterferenceModels returns the latest interference models of the owners of
-// all data centres.
-func (r *Registry) InterferenceModels() []briarspring.InterferenceModel {
-	var all []briarspring.InterferenceModel
-	for _, name := range slices.Sorted(maps.Keys(r.models)) {
-		all = append(all, r.models[name]...)
-	}
-	return all
-}
-
 // DirectoryCopies returns the offsets, in ascending order, of those records of a key of
 // the directory stream that the shared stream has copies of.
 func (r *Registry) DirectoryCopies(key string) []uint64 { return r.directory[key] }
@@ -254,12 +241,6 @@
 		return Change{}, r.applyRetirement(now, rest, rec)
 	case prefixInventory:
 		return Change{}, r.applyInventory(rest, rec)
-	case prefixModel:
-		models, err := encoder.DecodeInterferenceModels(rec.Value)
-		if err == nil {
-			r.models[rest] = models
-		}
-		return Change{}, err
 	}
 	return Change{}, nil
 }
--- a/steward/commit.go
+++ b/steward/commit.go
@@ -117,13 +117,10 @@
 	return false
 }
 
-// publishLoop writes workflow phases, heartbeats and learned models to the
-// shared stream.
+// publishLoop writes workflow phases and heartbeats to the shared stream.
 func (ow *ownership) publishLoop(ctx context.Context) {
 	heartbeats := time.NewTicker(heartbeatInterval)
 	defer heartbeats.Stop()
-	models := time.NewTicker(modelExchangeInterval)
-	defer models.Stop()
 	ow.publish(ctx, ow.heartbeat())
 	for {
 		var records []briarspring.KeyedRecord
@@ -135,8 +132,6 @@
 			records = ow.changedInventory()
 		case <-heartbeats.C:
 			records = ow.heartbeat()
-		case <-models.C:
-			records = ow.exchangeModels()
 		}
 		ow.mu.Lock()
 		records = append(records, ow.engine.TakePhases()...)
@@ -148,26 +143,6 @@
 	}
 }
 
-// exchangeModels adopts the interference models of other owners and returns the
-// record of this owner's models, if it has learned any.
-func (ow *ownership) exchangeModels() []briarspring.KeyedRecord {
-	var others []briarspring.InterferenceModel
-	ow.config.Replica.View(func(r *registrar.Registry) { others = r.InterferenceModels() })
-	ow.mu.Lock()
-	ow.pacer.AdoptModels(others)
-	learned := ow.pacer.Models()
-	ow.mu.Unlock()
-	if len(learned) == 0 {
-		return nil
-	}
-	value, err := encoder.EncodeInterferenceModels(learned)
-	if err != nil {
-		ow.logger.Error("model can't be encoded", "error", err)
-		return nil
-	}
-	return []briarspring.KeyedRecord{{Key: registrar.ModelKey(ow.config.DataCentre), Value: value}}
-}
-
 // publish writes records and retries until they are stored. The records must be
 // idempotent. It returns false if the context ended first.
 func (ow *ownership) publish(ctx context.Context, records []briarspring.KeyedRecord) (stored bool) {
@@ -207,6 +182,12 @@
 	}
 	ow.logRemovedWorkers(ow.inventory, v.Workers)
 	ow.inventory = v.Workers
+	if ow.claim.Yields {
+		// The progress stream has them, see dispatcher.Config.RecordedOnly. Every host
+		// reads inventories, and a list of hundreds of workers was repeated with each
+		// worker that joined or left.
+		v.Workers = nil
+	}
 	if reflect.DeepEqual(v, recorded.Content) && !recorded.Overwritten {
 		return nil
 	}
--- a/steward/takeover.go
+++ b/steward/takeover.go
@@ -17,6 +17,7 @@
 type recordedState struct {
 	progress map[briarspring.WorkflowID][]briarspring.TaskProgress
 	workers  []briarspring.KnownWorker // All that they may have used.
+	models   []briarspring.InterferenceModel
 }
 
 // takeOver fences earlier owners off the progress stream and reads it.
@@ -46,6 +47,7 @@
 	if err != nil {
 		return recordedState{}, err
 	}
+	models := ow.startReadingModels(ctx)
 	records, end, err := tracker.Newest(ctx, ow.config.Store, stream)
 	if err != nil {
 		return recordedState{}, err
@@ -53,7 +55,7 @@
 	if end < fence {
 		return recordedState{}, &tracker.StaleError{Stream: stream, End: end, Known: fence}
 	}
-	state := recordedState{progress: map[briarspring.WorkflowID][]briarspring.TaskProgress{}}
+	state := recordedState{progress: map[briarspring.WorkflowID][]briarspring.TaskProgress{}, models: <-models}
 	for _, r := range records {
 		if len(r.Value) == 0 {
 			continue
@@ -91,7 +93,7 @@
 	defer ow.mu.Unlock()
 	now := ow.config.Now()
 	ow.pacer = ow.config.NewPacer()
-	ow.config.Replica.View(func(r *registrar.Registry) { ow.pacer.AdoptModels(r.InterferenceModels()) })
+	ow.pacer.AdoptModels(recorded.models)
 	ow.engine = dispatcher.New(now, dispatcher.Config{
 		DataCentre: ow.config.DataCentre, Token: ow.claim.Token, Lease: ow.config.Lease, MaxLease: ow.config.MaxLease,
 		Predecessor: ow.claim.Previous != 0, Yields: ow.claim.Yields, RecordedOnly: ow.claim.Yields, Pacer: ow.pacer, Logger: ow.logger,
--- a/steward/term.go
+++ b/steward/term.go
@@ -50,9 +50,6 @@
 	// recentOwnerTime is how long after its end an owner's runs may go on without
 	// another one: until it certainly gives no orders, and a lease.
 	recentOwnerTime = maxUnreachable + 2*entryReturnTime + 6*time.Second
-	// modelExchangeInterval is the time between two exchanges of interference
-	// models.
-	modelExchangeInterval = 2 * time.Second
 	// maxExpiredPerHeartbeat bounds the finished workflows that one heartbeat
 	// deletes.
 	maxExpiredPerHeartbeat = 20
@@ -127,6 +124,7 @@
 	var goroutines sync.WaitGroup
 	goroutines.Go(func() { ow.commitLoop(ctx) })
 	goroutines.Go(func() { ow.publishLoop(ctx) })
+	goroutines.Go(func() { ow.exchangeLoop(ctx) })
 	ow.planLoop(ctx, &goroutines)
 	cancel()
 	goroutines.Wait()
--- a/stream.go
+++ b/stream.go
@@ -12,6 +12,9 @@
 	DirectoryStream = "directory"
 	// WorkersStream holds the workers' entries.
 	WorkersStream = "workers"
+	// ModelsStream holds the interference models of the data centres' owners, by data
+	// centre. Only owners read it.
+	ModelsStream = "models"
 )
 
 // ProgressStream returns the name of the stream with the progress of tasks in a
