Owners copy a change of the directory at once; others look before they copy

Each host that accepted a workflow before it had read of a copy wrote another one: 16 copies a change with 36 hosts, 32 with 147. Hosts now read the shared stream before they copy, and owners write copies as soon as they have read a change, one data centre after the other, so that a change also outlives hosts that are killed 100 ms after it.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -20,7 +20,7 @@
 // Prologue provides records that an append has to begin with.
 type Prologue interface {
 	// Records returns the records for an append that is sent next.
-	Records() []briarspring.KeyedRecord
+	Records(ctx context.Context) []briarspring.KeyedRecord
 	// Stored is called when they are stored; next is the offset after the append.
 	Stored(records []briarspring.KeyedRecord, next uint64)
 }
@@ -80,7 +80,8 @@
 // Done returns a channel that is closed when Run has ended.
 func (a *Appender) Done() <-chan struct{} { return a.done }
 
-// Write appends records and waits for the result. The error is a
+// Write appends records and waits for the result; without records, it appends the
+// prologue alone if there is one. The error is a
 // *briarspring.NotExecutedError when certainly nothing was written.
 func (a *Appender) Write(ctx context.Context, records ...briarspring.KeyedRecord) error {
 	w := writeRequest{records: records, result: make(chan error, 1)}
@@ -154,12 +155,18 @@
 	defer cancel()
 	var prologue []briarspring.KeyedRecord
 	if a.config.Prologue != nil {
-		prologue = a.config.Prologue.Records()
+		prologue = a.config.Prologue.Records(ctx)
 	}
 	records := slices.Clone(prologue)
 	for _, w := range batch {
 		records = append(records, w.records...)
 	}
+	if len(records) == 0 {
+		for _, w := range batch {
+			w.result <- nil
+		}
+		return
+	}
 	next, err := a.config.Store.Append(ctx, a.config.Stream, records, briarspring.Fence{})
 	if err == nil && len(prologue) > 0 {
 		a.config.Prologue.Stored(prologue, next)
--- a/assembler/directory_test.go
+++ b/assembler/directory_test.go
@@ -64,21 +64,23 @@
 // Guards against a new owner that starts tasks in a data centre that is out of service,
 // because nobody told it so yet.
 func TestOutOfServiceAfterARestartWithoutTheDirectory(t *testing.T) {
-	inVirtualTime(t, "all hosts restart", func(t *testing.T, f *fleet) {
-		const id = "0000000000000043"
-		f.submit(id, shortStep(1), shortStep(2, 0))
-		time.Sleep(300 * time.Millisecond)
-		f.store.Put(briarspring.DirectoryStream, imitator.OutOfServiceRecord(tartu, true))
-		time.Sleep(2 * time.Second)
-		require.Equal(t, 1, f.pool.Starts(), "the second step waits")
-		defer f.store.BeginOutage(imitator.StreamOutage{Stream: briarspring.DirectoryStream, Silent: true})()
-		for i := range hostsPerCentre {
-			go f.kill(f.host(tartu, i), time.Second)
-		}
-		time.Sleep(15 * time.Second)
-		assert.Equal(t, 1, f.pool.Starts())
-		assertNoViolations(t, f)
-	}, tartu)
+	for _, delay := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second} {
+		inVirtualTime(t, "all hosts restart after "+delay.String(), func(t *testing.T, f *fleet) {
+			const id = "0000000000000043"
+			f.submit(id, shortStep(1), shortStep(2, 0))
+			time.Sleep(300 * time.Millisecond)
+			f.store.Put(briarspring.DirectoryStream, imitator.OutOfServiceRecord(tartu, true))
+			time.Sleep(delay)
+			require.Equal(t, 1, f.pool.Starts(), "the second step waits")
+			defer f.store.BeginOutage(imitator.StreamOutage{Stream: briarspring.DirectoryStream, Silent: true})()
+			for i := range hostsPerCentre {
+				go f.kill(f.host(tartu, i), time.Second)
+			}
+			time.Sleep(15 * time.Second)
+			assert.Equal(t, 1, f.pool.Starts())
+			assertNoViolations(t, f)
+		}, tartu)
+	}
 }
 
 // Guards against an owner that goes on starting tasks in a data centre that was taken out
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -101,9 +102,14 @@
 	logger := c.Logger
 	calls := counter.New()
 	c.Store = &meteredStore{Store: c.Store, calls: calls}
-	catalogue := cataloguer.New(cataloguer.Config{Decoder: c.Decoder, Logger: logger})
+	var copies *directoryCopies
+	catalogue := cataloguer.New(cataloguer.Config{Decoder: c.Decoder, Logger: logger, OnChange: func() { copies.notify() }})
 	replica := replicator.New(replicator.Config{Directory: catalogue, Now: c.Now, Logger: logger})
-	copier := cataloguer.NewCopier(cataloguer.CopierConfig{Catalogue: catalogue, Replica: replica, MaxRecordBytes: c.MaxRecordBytes, Logger: logger})
+	var sharedTracker *tracker.Tracker
+	copier := cataloguer.NewCopier(cataloguer.CopierConfig{
+		Catalogue: catalogue, Replica: replica, MaxRecordBytes: c.MaxRecordBytes, Logger: logger,
+		Refresh: func(ctx context.Context) { sharedTracker.Refresh(ctx) },
+	})
 	shared := appender.New(appender.Config{Stream: briarspring.SharedStream, Store: c.Store, Prologue: copier})
 	list := lister.New(lister.Config{Decoder: c.Decoder, Logger: logger})
 	var owned atomic.Int32
@@ -112,7 +118,7 @@
 			Stream: stream, Store: c.Store, Sink: sink, Wait: wait, Interval: interval, Enabled: enabled, Now: c.Now, Logger: logger,
 		})
 	}
-	sharedTracker := track(briarspring.SharedStream, replica, sharedReadWait, func() time.Duration {
+	sharedTracker = track(briarspring.SharedStream, replica, sharedReadWait, func() time.Duration {
 		return sharedReadInterval(owned.Load() > 0, c.MilliCPU, replica)
 	}, nil)
 	directoryTracker := track(briarspring.DirectoryStream, catalogue, directoryReadWait, nil, nil)
@@ -131,6 +137,11 @@
 	l.Add("listing", workersTracker)
 	l.Add("presence", newPresence(c, incarnation, shared))
 	owners := map[string]*steward.Owner{}
+	copies = newDirectoryCopies(func(ctx context.Context) error { return shared.Write(ctx) }, func() (int, bool) {
+		rank := slices.IndexFunc(c.DataCentres, func(name string) bool { return owners[name].Owns() })
+		return rank, rank >= 0
+	})
+	l.Add("copies", copies)
 	for _, name := range c.DataCentres {
 		owners[name] = steward.New(steward.Config{
 			Host: c.Host, HostDataCentre: c.DataCentre, DataCentre: name, DataCentres: c.DataCentres, Incarnation: incarnation, MilliCPU: c.MilliCPU,
--- a/cataloguer/copier.go
+++ b/cataloguer/copier.go
@@ -1,8 +1,10 @@
 package cataloguer
 
 import (
+	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -21,9 +23,16 @@
 	Catalogue      *Catalogue
 	Replica        Replica
 	MaxRecordBytes int // Largest record that the log stores, with its key; zero for no limit.
-	Logger         hclog.Logger
+	// Refresh reads what the shared stream has got so far; optional.
+	Refresh func(ctx context.Context)
+	Logger  hclog.Logger
 }
 
+// refreshTimeout bounds the read that precedes copies. It keeps hundreds of hosts that
+// read the stream seldom from all copying one change, and costs the records that follow
+// little if the stream can't be read.
+const refreshTimeout = 200 * time.Millisecond
+
 // Copier provides copies of the directory's records for the shared stream. A host's
 // appends begin with the records that the stream lacks, so that a host that reads a
 // decision has read the directory that it was made under. It implements
@@ -54,7 +63,19 @@
 
 // Records returns copies of the records that the shared stream lacks, and records that
 // drop its older copies of the same keys.
-func (c *Copier) Records() []briarspring.KeyedRecord {
+func (c *Copier) Records(ctx context.Context) []briarspring.KeyedRecord {
+	list := c.missing()
+	if len(list) == 0 || c.config.Refresh == nil {
+		return list
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	c.config.Refresh(ctx)
+	return c.missing()
+}
+
+// missing returns the same by what was read so far.
+func (c *Copier) missing() []briarspring.KeyedRecord {
 	known := c.config.Catalogue.Records()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/cataloguer/copier_test.go
+++ b/cataloguer/copier_test.go
@@ -1,6 +1,7 @@
 package cataloguer_test
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"testing"
@@ -53,7 +54,7 @@
 
 func assertCopies(t *testing.T, s *sharedStream, want ...briarspring.KeyedRecord) {
 	t.Helper()
-	assert.Equal(t, want, s.copier.Records())
+	assert.Equal(t, want, s.copier.Records(context.Background()))
 }
 
 func TestCopier(t *testing.T) {
@@ -63,18 +64,18 @@
 		s.change(3, "directory", "7")
 		s.change(4, "out/tartu", "{}")
 		assertCopies(t, s, copyOf(t, 3, "directory", "7"), copyOf(t, 4, "out/tartu", "{}"))
-		s.read(s.copier.Records()...)
+		s.read(s.copier.Records(context.Background())...)
 		assertCopies(t, s)
 		s.change(5, "out/tartu", "")
 		dropped := briarspring.KeyedRecord{Key: registrar.DirectoryKey("out/tartu", 4)}
 		assertCopies(t, s, copyOf(t, 5, "out/tartu", ""), dropped)
-		s.read(s.copier.Records()...)
+		s.read(s.copier.Records(context.Background())...)
 		assertCopies(t, s)
 	})
 	t.Run("a copy that is stored and not read yet isn't repeated", func(t *testing.T) {
 		s := newSharedStream(0)
 		s.change(3, "directory", "7")
-		copies := s.copier.Records()
+		copies := s.copier.Records(context.Background())
 		s.copier.Stored(copies, 1)
 		assertCopies(t, s)
 		s.read(copies...)
@@ -86,7 +87,7 @@
 		ahead.change(3, "directory", "7")
 		behind.change(2, "directory", "6")
 		newest := map[string]briarspring.KeyedRecord{}
-		for i, r := range slices.Concat(ahead.copier.Records(), behind.copier.Records()) {
+		for i, r := range slices.Concat(ahead.copier.Records(context.Background()), behind.copier.Records(context.Background())) {
 			r.Offset = uint64(i)
 			newest[r.Key] = r
 		}
@@ -106,7 +107,7 @@
 			return briarspring.KeyedRecord{Key: registrar.DirectoryKey("directory", offset)}
 		}
 		assertCopies(t, s, copyOf(t, 4, "directory", "8"), drop(2), drop(3))
-		s.read(s.copier.Records()...)
+		s.read(s.copier.Records(context.Background())...)
 		assertCopies(t, s)
 	})
 	t.Run("a directory that is too large is left out", func(t *testing.T) {
