--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -109,5 +109,6 @@
 		"paces": c.Paces, "suspects": c.Suspects, "doubts": c.Doubts, "completed": c.Completed,
 		"starts-again": c.StartsAgain, "late-ends": c.LateEnds, "late-done": c.LateDone, "reappeared": c.Reappeared,
 		"unrecorded-ends": c.UnrecordedEnds, "final-ends": c.FinalEnds, "held-ends": c.HeldEnds,
+		"urgent-stops": c.UrgentStops, "urgent-waits": c.UrgentWaits,
 	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -38,6 +38,9 @@
 	// RecordedOnly records workers in the progress stream, and limits starts to those
 	// whose record is stored, so that a new owner knows whom to ask.
 	RecordedOnly bool
+	// KeepLongRunning makes the dispatcher stop no long-running task to make room
+	// for urgent work.
+	KeepLongRunning bool
 	// Pacer sets the speed of best-effort tasks. It may be nil.
 	Pacer Pacer
 }
@@ -120,6 +123,7 @@
 	now              time.Duration
 	counters         Counters
 	audit            endAudit
+	shortage         shortage
 	lastTransfer     int             // Number of the last transfer.
 	bestEffortImages map[string]bool // Images of best-effort tasks seen so far.
 }
@@ -143,6 +147,9 @@
 	UnrecordedEnds uint64 // Ends that are acknowledged without a record.
 	FinalEnds      uint64 // Ends of final or cancelled workflows, which need no record.
 	HeldEnds       uint64 // Ends that are not acknowledged until their task is known.
+
+	UrgentStops uint64 // Long-running tasks that were stopped to make room for urgent work.
+	UrgentWaits uint64 // Urgent steps that had to wait for room while there was long-running work.
 }
 
 // New returns the state of an owner whose claim took effect at now.
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -426,7 +426,7 @@
 	if r.stopping {
 		return
 	}
-	r.stopping = true
+	r.stopping, r.stoppedAt = true, d.now
 	r.worker.runsChanged()
 	d.counters.Stops++
 	d.logger.Info("stopping run", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -43,6 +43,7 @@
 	unfinished int             // Tasks that are not done.
 	waiting    int             // Tasks that are not done and have no run.
 	spread     map[*worker]int // Live runs by worker.
+	roomLogged uint8           // Bits of the outcomes of decisions about room that were logged.
 	rack       string          // Rack to which the placement of a gang is limited at the moment.
 }
 
@@ -64,6 +65,7 @@
 	past         []pastRun // By run number, see maxPastRuns.
 	readySince   time.Duration
 	avoidWorker  *worker // Worker of its last failure.
+	away         bool    // It was stopped for urgent work and is not at work yet.
 }
 
 func newJob(now, age time.Duration, w *briarspring.Workflow, offset uint64) *job {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -117,9 +117,11 @@
 		}
 	}
 	slices.SortFunc(reserved, compareReserved)
+	d.orderUrgent(reserved)
 	for _, c := range reserved {
 		d.assignStep(c.step)
 	}
+	d.makeRoom(reserved)
 	for _, j := range d.jobs {
 		if j.inactive() {
 			continue
@@ -234,7 +236,7 @@
 	})
 	defer options.release(d)
 	for _, t := range s.tasks {
-		if !t.pending() || d.exhausted(t) || t.suspicion > 0 {
+		if !t.pending() || d.exhausted(t) || t.suspicion > 0 || d.heldBack(t) {
 			continue
 		}
 		if d.startsLeft <= 0 {
@@ -271,6 +273,9 @@
 	if w.entry.Service != s.job.workflow.Service || !w.acceptsStarts(d.now) {
 		return false
 	}
+	if spec.LongRunning && d.now < w.keptUntil {
+		return false
+	}
 	if spec.Requirement != "" && !slices.Contains(w.entry.Labels, spec.Requirement) {
 		return false
 	}
@@ -337,7 +342,8 @@
 	if spec.LongRunning {
 		v := w.runView(d.now)
 		same := v.longRunning[spec.Image]
-		cost = -freeWeight*cost + spreadCost*float64(s.spread[w]) + mixCost*float64(v.total-same) - groupGain*float64(same)
+		cost = -freeWeight*cost + spreadCost*float64(s.spread[w]) + mixCost*float64(v.total-same) - groupGain*float64(same) +
+			d.lastRoom(spec, w)
 	}
 	if spec.Rack != "" && spec.Rack != w.entry.Rack {
 		cost += rackCost
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -27,6 +27,7 @@
 	if known && !d.takeoverLogged[service] {
 		d.takeoverLogged[service] = true
 		d.logTakeover(service)
+		d.markAway(service)
 	}
 	return known
 }
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -73,7 +73,8 @@
 	quarantinedUntil time.Duration
 	probe            *run
 	pausedUntil      time.Duration
-	slow             float64 // Learned factor of run times; one is normal.
+	keptUntil        time.Duration // No long-running task starts before; see keepTime.
+	slow             float64       // Learned factor of run times; one is normal.
 	pacesDecidedAt   time.Duration
 	interference     bool // A best-effort task interferes with a long-running one.
 }
@@ -250,6 +251,7 @@
 	unreported      bool          // Is not in the list of running tasks any more, and its end may not be listed yet.
 	settled         bool          // Was in such a list settleTime after its start.
 	stopping        bool
+	stoppedAt       time.Duration // When the first stop was sent.
 	stopSentAt      time.Duration // When the last stop was sent.
 	stopAnsweredAt  time.Duration // When a stop was answered; zero for never.
 	checkpoint      string
