--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -298,6 +298,7 @@
 func (d *Dispatcher) addWorker(p *roomPass, w *worker) {
 	view := roomWorker{free: w.free()}
 	var runs []*run
+	deaf := false // It does not carry out a stop.
 	for _, r := range w.runs {
 		spec := r.task.step.spec()
 		switch {
@@ -305,7 +306,9 @@
 			// Its memory is freed when a task needs it, see preemptFor.
 			view.free = view.free.Add(reservation(spec))
 		case r.stopping:
-			if age := d.now - r.stoppedAt; age < stopPatience {
+			age := d.now - r.stoppedAt
+			deaf = deaf || age >= stopPatience
+			if age < stopPatience {
 				view.coming = append(view.coming, comingRoom{in: max(soonest, stopTime-age), amount: spec.Resources})
 			}
 		case spec.LongRunning:
@@ -318,6 +321,9 @@
 			}
 		}
 	}
+	if deaf {
+		runs = nil
+	}
 	slices.SortFunc(runs, func(a, b *run) int {
 		return cmp.Or(
 			cmp.Compare(a.task.step.spec().Resources.MilliCPU(), b.task.step.spec().Resources.MilliCPU()),
