--- a/dispatcher/urgent_test.go
+++ b/dispatcher/urgent_test.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// Guards against stops on a fleet with room.
+func TestUrgentWorkOnAFreeFleet(t *testing.T) {
+	r := burst(t, 10, false)
+	assert.Zero(t, r.stops)
+	assert.Equal(t, r.urgent, r.inTime)
+}
+
 // Guards against urgent work without room after workers were lost.
 func TestUrgentWorkAfterALoss(t *testing.T) {
 	lose := func(keep bool) fleetResult {
@@ -241,24 +248,44 @@
 	})
 	t.Run("leaves room where it can go elsewhere", func(t *testing.T) {
 		s := reservedFixture(t, 1)
-		s.d.Submit(s.now, 0, workflow("urgent", step(4, 4000)), 6, nil, nil)
-		s.advance(3 * time.Second)
-		// One has room for either kind but not both, the other for both.
-		s.addWorker("w2")
-		s.addWorker("w3")
-		s.workers["w2"].entry.Capacity, s.workers["w3"].entry.Capacity = resources(5000, 32000), resources(9500, 32000)
-		s.d.SetWorkers(s.now, s.entries("w0", "w1", "w2", "w3"))
+		s.d.Submit(s.now, 0, workflow("urgent", step(1, 4000)), 6, nil, nil)
+		require.Len(t, stops(s.planAndApply()), 1)
+		s.d.Cancel(s.now, "urgent")
+		s.advance(4600 * time.Millisecond)
 		image := longRunning(1, 5000)
 		image.Image = "x"
-		s.d.Submit(s.now, 0, workflow("next", image), 8, nil, nil)
-		var on []string
-		for worker, runs := range starts(s.advance(4 * time.Second)) {
-			for _, r := range runs {
-				if r.Task.Workflow == "next" {
-					on = append(on, worker)
-				}
-			}
-		}
-		assert.Equal(t, []string{"w3"}, on)
+		// Long-running tasks of an image go together; there would be 2 cores left here.
+		s.addSized("w2", 12000)
+		s.d.Submit(s.now, 0, workflow("first", image), 8, nil, nil)
+		require.Len(t, starts(s.planAndApply())["w2"], 1)
+		s.addSized("w3", 9500)
+		s.d.Submit(s.now, 0, workflow("next", image), 9, nil, nil)
+		assert.Len(t, starts(s.planAndApply())["w3"], 1)
 	})
 }
+
+// addSized adds a worker with a number of millicores.
+func (s *fixture) addSized(id string, milliCPU int64) {
+	s.addWorker(id)
+	s.workers[id].entry.Capacity = resources(milliCPU, 32000)
+	var entries []briarspring.WorkerEntry
+	for _, w := range s.workers {
+		entries = append(entries, w.entry)
+	}
+	s.d.SetWorkers(s.now, entries)
+}
+
+// Guards against long-running tasks that wait for as long as urgent work that no stop
+// helps goes on coming. The fleet checks the bound on their wait.
+func TestLongRunningBesideUrgentWorkWithoutRoom(t *testing.T) {
+	f := newFleet(t, 40, 13, 0, false)
+	for i := range 30 {
+		large := step(1, 40000)
+		large.Estimate = urgentTime
+		f.after(time.Duration(i)*time.Second, func() { f.submit(workflow(briarspring.WorkflowID(fmt.Sprintf("large%d", i)), large)) })
+	}
+	f.run(2 * time.Second)
+	f.takeAway("w3", "w5")
+	f.run(30 * time.Second)
+	assert.Len(t, f.atWork, 13*longTasks)
+}
