Calls on queues that aren't public need an organisation's key

Cause: callers were not told apart; anybody could submit, ask and cancel.

Change: platform decodes organisations and public queues, and the catalogue keeps a record that is encoded anew from what was decoded, with digests in place of keys, so that copies in the shared stream can't contain one.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -29,6 +29,8 @@
 // Catalogue is the operators' configuration.
 type Catalogue interface {
 	Directory() (briarspring.Directory, bool)
+	// Snapshot returns the directory with the index of its keys.
+	Snapshot() (briarspring.Directory, *briarspring.KeyIndex, bool)
 	OutOfService(dataCentre string) bool
 }
 
@@ -58,6 +60,11 @@
 	// MaxRecordBytes is the largest record that the log stores, with its key. Zero
 	// means no limit.
 	MaxRecordBytes int
+	// MaxKeyAge is the age of the directory from which calls with a key are refused. Zero
+	// means never.
+	MaxKeyAge time.Duration
+	// Digest is the digest of a key. Optional; tests count the calls.
+	Digest func(key string) briarspring.KeyDigest
 }
 
 const (
@@ -106,6 +113,9 @@
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
+	if c.Digest == nil {
+		c.Digest = briarspring.DigestKey
+	}
 	return &Admitter{config: c, outcomes: counter.New()}
 }
 
@@ -145,6 +155,11 @@
 // is too old to tell.
 func (a *Admitter) Find(host, path string) (queue briarspring.Queue, rest string, err error) {
 	directory, ok := a.config.Catalogue.Directory()
+	return a.find(directory, ok, host, path)
+}
+
+// find is Find in a given directory; ok is false if there is none.
+func (a *Admitter) find(directory briarspring.Directory, ok bool, host, path string) (queue briarspring.Queue, rest string, err error) {
 	if !ok {
 		return briarspring.Queue{}, "", &RefusedError{Reason: "no directory was read yet", RetryAfter: minRetryAfter}
 	}
@@ -196,12 +211,12 @@
 // ReadRegistry calls f with the shared state, which f must not retain.
 func (a *Admitter) ReadRegistry(f func(*registrar.Registry)) { a.config.Replica.View(f) }
 
-// Submit accepts a workflow. It returns nil if the workflow is stored, by this call
+// Submit accepts a workflow for an operator, without an organisation. It returns nil if the workflow is stored, by this call
 // or an earlier one, a *RefusedError if it won't run, and a
 // *briarspring.NoAnswerError if it may run.
 func (a *Admitter) Submit(ctx context.Context, q briarspring.Queue, w *briarspring.Workflow) error {
 	start := time.Now()
-	err := a.submit(ctx, q, w)
+	err := a.submit(ctx, Caller{Queue: q}, w)
 	a.outcomes.Observe("submit", outcomeOf(err), time.Since(start))
 	return err
 }
@@ -211,18 +226,23 @@
 
 func outcomeOf(err error) string {
 	var refused *RefusedError
+	var noKey *KeyError
 	switch {
 	case err == nil:
 		return "accepted"
-	case errors.As(err, &refused):
+	case errors.As(err, &refused), errors.As(err, &noKey):
 		return "refused"
 	}
 	return "doubt"
 }
 
-func (a *Admitter) submit(ctx context.Context, q briarspring.Queue, w *briarspring.Workflow) error {
-	if a.isKnown(w.ID) {
-		a.config.Logger.Info("submission repeated", "workflow", w.ID)
+func (a *Admitter) submit(ctx context.Context, c Caller, w *briarspring.Workflow) error {
+	q := c.Queue
+	if owner, known := a.ownerOf(w.ID); known {
+		if !c.sees(owner) {
+			return a.takenError(&c, w.ID, owner)
+		}
+		a.config.Logger.Info("submission repeated", c.logFields("workflow", w.ID)...)
 		return nil
 	}
 	// The queue may have been found in an earlier version, not in a later one.
@@ -235,8 +255,8 @@
 	}
 	if err := a.admit(q, w); err != nil {
 		age, _ := a.config.Reading.Age()
-		a.config.Logger.Info("submission refused", "workflow", w.ID, "queue", q.Name, "directory-version", version,
-			"state-age-ms", age.Milliseconds(), "error", err)
+		a.config.Logger.Info("submission refused", c.logFields("workflow", w.ID, "queue", q.Name, "directory-version", version,
+			"state-age-ms", age.Milliseconds(), "error", err)...)
 		return err
 	}
 	value, err := encoder.EncodeSubmission(w)
@@ -250,8 +270,11 @@
 		return briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID, registrar.NewAttemptID()), Value: value}
 	})
 	age, _ := a.config.Reading.Age()
-	a.config.Logger.Info("submission", "workflow", w.ID, "queue", q.Name, "data-centre", w.DataCentre, "tasks", w.TaskCount(),
-		"directory-version", version, "state-age-ms", age.Milliseconds(), "took-ms", time.Since(w.Submitted).Milliseconds(), "stored", err == nil, "error", err)
+	a.config.Logger.Info("submission", c.logFields("workflow", w.ID, "queue", q.Name, "data-centre", w.DataCentre, "tasks", w.TaskCount(),
+		"directory-version", version, "state-age-ms", age.Milliseconds(), "took-ms", time.Since(w.Submitted).Milliseconds(), "stored", err == nil, "error", err)...)
+	if err == nil && c.limited {
+		return a.confirm(ctx, &c, w.ID)
+	}
 	return err
 }
 
@@ -304,8 +327,7 @@
 }
 
 func (a *Admitter) isKnown(id briarspring.WorkflowID) bool {
-	known := false
-	a.config.Replica.View(func(r *registrar.Registry) { known = r.Workflow(id) != nil })
+	_, known := a.ownerOf(id)
 	return known
 }
 
@@ -356,36 +378,41 @@
 // Phase returns the phase of a workflow, or false if it doesn't exist. The error is
 // a *RefusedError if the local state is too old to decide that.
 func (a *Admitter) Phase(ctx context.Context, id briarspring.WorkflowID) (phase briarspring.Phase, known bool, err error) {
-	if phase, known = a.phase(id); known {
-		return a.refreshed(ctx, id, phase), true, nil
+	return a.phaseFor(ctx, &Caller{}, id)
+}
+
+// phaseFor is Phase for the workflows that a caller sees.
+func (a *Admitter) phaseFor(ctx context.Context, c *Caller, id briarspring.WorkflowID) (phase briarspring.Phase, known bool, err error) {
+	if phase, known = a.phase(c, id); known {
+		return a.refreshed(ctx, c, id, phase), true, nil
 	}
 	// Another host may just have accepted it.
 	if err := a.catchUp(ctx); err != nil {
 		return 0, false, err
 	}
-	phase, known = a.phase(id)
+	phase, known = a.phase(c, id)
 	return phase, known, nil
 }
 
 // refreshed returns the phase of a workflow after a read, unless it is final
 // already. Callers ask when they expect the end, and reading then spares a poll
 // several times a second on every host.
-func (a *Admitter) refreshed(ctx context.Context, id briarspring.WorkflowID, phase briarspring.Phase) briarspring.Phase {
+func (a *Admitter) refreshed(ctx context.Context, c *Caller, id briarspring.WorkflowID, phase briarspring.Phase) briarspring.Phase {
 	if phase.Final() {
 		return phase
 	}
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	a.config.Reading.Refresh(ctx)
-	if newer, known := a.phase(id); known {
+	if newer, known := a.phase(c, id); known {
 		return newer
 	}
 	return phase
 }
 
-func (a *Admitter) phase(id briarspring.WorkflowID) (phase briarspring.Phase, known bool) {
+func (a *Admitter) phase(c *Caller, id briarspring.WorkflowID) (phase briarspring.Phase, known bool) {
 	a.config.Replica.View(func(r *registrar.Registry) {
-		if e := r.Workflow(id); e != nil {
+		if e := r.Workflow(id); e != nil && c.sees(e.Workflow().Organisation) {
 			phase, known = e.Phase(), true
 		}
 	})
@@ -414,6 +441,11 @@
 // *RefusedError or a *briarspring.NoAnswerError.
 func (a *Admitter) Cancel(ctx context.Context, id briarspring.WorkflowID) (known bool, err error) {
 	phase, known, err := a.Phase(ctx, id)
+	return a.cancel(ctx, &Caller{}, id, phase, known, err)
+}
+
+// cancel cancels a workflow whose phase was looked up.
+func (a *Admitter) cancel(ctx context.Context, c *Caller, id briarspring.WorkflowID, phase briarspring.Phase, known bool, err error) (bool, error) {
 	if err != nil || !known || phase.Final() {
 		return known, err
 	}
@@ -422,7 +454,7 @@
 	err = a.store(ctx, id, func() briarspring.KeyedRecord {
 		return briarspring.KeyedRecord{Key: registrar.CancelKey(id), Value: []byte{1}}
 	})
-	a.config.Logger.Info("cancellation", "workflow", id, "phase", phase.String(), "stored", err == nil, "error", err)
+	a.config.Logger.Info("cancellation", c.logFields("workflow", id, "phase", phase.String(), "stored", err == nil, "error", err)...)
 	return true, err
 }
 
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -35,6 +35,7 @@
 	StopTime       time.Duration // For each part to finish its work in flight.
 	FinalRetention time.Duration // Minimum time for which finished workflows are remembered.
 	MaxRecordBytes int           // Largest record that the store takes, with its key; zero for no limit.
+	RevokeTime     time.Duration // Time after which no removed key may be accepted, even by a host that is cut off; zero for no limit.
 	CallersAddr    string
 	ReadyAddr      string
 	MetricsAddr    string // Empty for none.
@@ -74,6 +75,13 @@
 	// Together with the call's timeout it stays below 3 s: a host must have read
 	// the directory 3 s after a cut ends.
 	directoryReadWait = time.Second
+	// revocationReads is how many reads of the directory fit into the time after which
+	// removed keys may not be accepted. One of them is kept in reserve for calls that
+	// are under way, and the others must take less than a slow store's 0.8 s.
+	revocationReads = 3
+	// minDirectoryReadWait keeps a short time of revocation from making the hosts read
+	// the directory all the time.
+	minDirectoryReadWait = 200 * time.Millisecond
 	// workersReadInterval is the minimum time between two reads of the list of
 	// workers, whose entries change every 1.5 s.
 	workersReadInterval = 250 * time.Millisecond
@@ -115,11 +123,13 @@
 	sharedTracker := track(briarspring.SharedStream, replica, sharedReadWait, func() time.Duration {
 		return sharedReadInterval(owned.Load() > 0, c.MilliCPU, replica)
 	}, nil)
-	directoryTracker := track(briarspring.DirectoryStream, catalogue, directoryReadWait, nil, nil)
+	directoryWait, maxKeyAge := revocationTimes(c.RevokeTime)
+	directoryTracker := track(briarspring.DirectoryStream, catalogue, directoryWait, nil, nil)
 	workersTracker := track(briarspring.WorkersStream, list, 0, func() time.Duration { return workersReadInterval }, func() bool { return owned.Load() > 0 })
 	intake := admitter.New(admitter.Config{
 		DataCentre: c.DataCentre, DataCentres: c.DataCentres, Shared: shared, Catalogue: catalogue,
 		Replica: replica, Reading: sharedTracker, DirectoryReading: directoryTracker, Now: c.Now, Logger: logger, MaxRecordBytes: c.MaxRecordBytes,
+		MaxKeyAge: maxKeyAge,
 	})
 	l := launcher.New(logger, c.StopTime)
 	if c.LogWriter != nil {
@@ -153,6 +163,19 @@
 	return l, intake
 }
 
+// revocationTimes returns how long reads of the directory wait, and the age of the
+// directory from which calls with keys are refused, zero for never. The age is the time
+// of revocation less one read, so that a call that is accepted at that age has its effect
+// within the time. A time that is too short for reads gives an age of a nanosecond:
+// nobody is accepted.
+func revocationTimes(revoke time.Duration) (wait, maxKeyAge time.Duration) {
+	if revoke == 0 {
+		return directoryReadWait, 0
+	}
+	wait = max(minDirectoryReadWait, min(directoryReadWait, revoke/revocationReads))
+	return wait, max(1, revoke-wait)
+}
+
 // sharedReadInterval returns the minimum time between two reads of the shared
 // stream.
 func sharedReadInterval(owner bool, milliCPU int, replica *replicator.Replica) time.Duration {
--- a/cataloguer/cataloguer.go
+++ b/cataloguer/cataloguer.go
@@ -19,6 +19,11 @@
 	// DecodeDirectory returns the queues that a record defines, and false for
 	// records of another kind.
 	DecodeDirectory(r briarspring.KeyedRecord) (briarspring.Directory, bool, error)
+	// DecodeDirectoryCopy is the same for a record with a value of EncodeDirectory.
+	DecodeDirectoryCopy(r briarspring.KeyedRecord) (briarspring.Directory, bool, error)
+	// EncodeDirectory returns the value of a record that defines a directory. It has
+	// digests in place of keys.
+	EncodeDirectory(d briarspring.Directory) ([]byte, error)
 	// DecodeOutKey returns the data centre that is out of service while the
 	// record with this key exists, and false for records of another kind.
 	DecodeOutKey(key string) (dataCentre string, ok bool)
@@ -38,6 +43,7 @@
 
 	mu           sync.Mutex
 	directory    briarspring.Directory
+	index        *briarspring.KeyIndex              // Of the directory's keys.
 	loaded       bool                               // There is a directory.
 	read         bool                               // The directory stream itself was read.
 	records      map[string]briarspring.KeyedRecord // See Records.
@@ -52,7 +58,7 @@
 	if c.OnChange == nil {
 		c.OnChange = func() {}
 	}
-	return &Catalogue{config: c, records: map[string]briarspring.KeyedRecord{}, outOfService: map[string]bool{}}
+	return &Catalogue{config: c, index: briarspring.NewKeyIndex(nil), records: map[string]briarspring.KeyedRecord{}, outOfService: map[string]bool{}}
 }
 
 // Directory returns the current queues, and false before any were read from the
@@ -72,7 +78,7 @@
 }
 
 // Records returns the newest known record of each key, with an empty value for keys that
-// were dropped, in order of key.
+// were dropped, in order of key. Directories are without keys.
 func (c *Catalogue) Records() []briarspring.KeyedRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,11 +97,11 @@
 	present := map[string]bool{}
 	for _, r := range records {
 		present[r.Key] = true
-		c.applyRecord(r)
+		c.applyRecord(r, false)
 	}
 	for key, r := range c.records {
 		if !present[key] && r.Offset < end && len(r.Value) > 0 {
-			c.applyRecord(briarspring.KeyedRecord{Key: key, Offset: end - 1})
+			c.applyRecord(briarspring.KeyedRecord{Key: key, Offset: end - 1}, false)
 		}
 	}
 	c.mu.Unlock()
@@ -107,7 +113,7 @@
 	c.mu.Lock()
 	c.read = true
 	for _, r := range records {
-		c.applyRecord(r)
+		c.applyRecord(r, false)
 	}
 	c.mu.Unlock()
 	c.config.OnChange()
@@ -126,7 +132,7 @@
 	}
 	c.config.Logger.Info("directory record copied from the shared stream", "key", key, "offset", offset)
 	c.mu.Lock()
-	c.applyRecord(r)
+	c.applyRecord(r, true)
 	c.mu.Unlock()
 	c.config.OnChange()
 }
@@ -142,18 +148,22 @@
 
 // applyRecord applies a record unless a later one of its key was applied: copies may
 // arrive before the directory stream has been read up to their offset.
-func (c *Catalogue) applyRecord(r briarspring.KeyedRecord) {
+func (c *Catalogue) applyRecord(r briarspring.KeyedRecord, isCopy bool) {
 	if known, ok := c.records[r.Key]; ok && r.Offset < known.Offset {
 		return
 	}
-	// The value may be part of a larger response.
-	r.Value = bytes.Clone(r.Value)
 	if name, ok := c.config.Decoder.DecodeOutKey(r.Key); ok {
+		// The value may be part of a larger response.
+		r.Value = bytes.Clone(r.Value)
 		c.records[r.Key] = r
 		c.setOutOfService(name, len(r.Value) > 0)
 		return
 	}
-	directory, ok, err := c.config.Decoder.DecodeDirectory(r)
+	decode := c.config.Decoder.DecodeDirectory
+	if isCopy {
+		decode = c.config.Decoder.DecodeDirectoryCopy
+	}
+	directory, ok, err := decode(r)
 	if err != nil {
 		c.config.Logger.Warn("ignoring invalid directory", "key", r.Key, "offset", r.Offset, "error", err)
 		return
@@ -161,11 +171,28 @@
 	if !ok || c.loaded && directory.Version <= c.directory.Version {
 		return
 	}
-	c.config.Logger.Info("directory changed", "version", directory.Version, "before", c.directory.Version, "queues", len(directory.Queues))
-	c.directory, c.loaded = directory, true
+	var conflicts []string
+	var index *briarspring.KeyIndex
+	directory.Organisations, index, conflicts = indexOrganisations(directory.Organisations)
+	if r.Value, err = c.config.Decoder.EncodeDirectory(directory); err != nil {
+		c.config.Logger.Error("ignoring directory that can't be encoded", "key", r.Key, "offset", r.Offset, "error", err)
+		return
+	}
+	c.config.Logger.Info("directory changed", c.changeFields(directory)...)
+	c.warnOfConflicts(directory.Version, conflicts)
+	c.directory, c.index, c.loaded = directory, index, true
 	c.records[r.Key] = r
 }
 
+// changeFields returns the fields of the log line about a new directory.
+func (c *Catalogue) changeFields(d briarspring.Directory) []any {
+	fields := []any{"version", d.Version, "before", c.directory.Version, "queues", len(d.Queues)}
+	if d.KeysRequired || c.directory.KeysRequired {
+		fields = append(fields, "organisations", len(d.Organisations), "keys-required", d.KeysRequired)
+	}
+	return fields
+}
+
 func (c *Catalogue) setOutOfService(name string, out bool) {
 	if c.outOfService[name] == out {
 		return
--- a/cataloguer/cataloguer_test.go
+++ b/cataloguer/cataloguer_test.go
@@ -23,6 +23,14 @@
 	return briarspring.Directory{Version: version}, r.Key == "directory", nil
 }
 
+func (d decoder) DecodeDirectoryCopy(r briarspring.KeyedRecord) (briarspring.Directory, bool, error) {
+	return d.DecodeDirectory(r)
+}
+
+func (decoder) EncodeDirectory(d briarspring.Directory) ([]byte, error) {
+	return strconv.AppendUint(nil, d.Version, 10), nil
+}
+
 func (decoder) DecodeOutKey(key string) (string, bool) { return strings.CutPrefix(key, "out/") }
 
 func record(key, value string) briarspring.KeyedRecord {
--- a/imitator/record.go
+++ b/imitator/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -16,8 +17,19 @@
 
 // directoryRecord is the stored form of the queues.
 type directoryRecord struct {
-	Version uint64        `json:"version"`
-	Queues  []queueRecord `json:"queues"`
+	Version       uint64               `json:"version"`
+	Queues        []queueRecord        `json:"queues"`
+	KeysRequired  bool                 `json:"keys-required,omitempty"`
+	Organisations []organisationRecord `json:"organisations,omitempty"`
+}
+
+type organisationRecord struct {
+	Name         string   `json:"name"`
+	KeyDigests   [][]byte `json:"key-digests,omitempty"`
+	Weight       float64  `json:"weight,omitempty"`
+	MilliCPU     int64    `json:"milli-cpu,omitempty"`
+	MemoryMiB    int64    `json:"memory-mib,omitempty"`
+	Accelerators int64    `json:"accelerators,omitempty"`
 }
 
 type queueRecord struct {
@@ -29,6 +41,7 @@
 	MaxAttempts int     `json:"max-attempts"`
 	Stretch     float64 `json:"stretch"`
 	AllowanceMs int64   `json:"allowance-ms"`
+	Public      bool    `json:"public,omitempty"`
 }
 
 // workerRecord is the stored form of a worker's entry.
@@ -45,17 +58,32 @@
 	Born         int64    `json:"born"`
 }
 
-// DirectoryRecord encodes a directory of queues as a record.
+// DirectoryRecord encodes a directory of queues and organisations as a record, which has
+// digests only.
 func DirectoryRecord(d briarspring.Directory) (briarspring.KeyedRecord, error) {
-	m := directoryRecord{Version: d.Version}
+	value, err := Decoder{}.EncodeDirectory(d)
+	return briarspring.KeyedRecord{Key: keyDirectory, Value: value}, err
+}
+
+// EncodeDirectory returns the value of a directory's record.
+func (Decoder) EncodeDirectory(d briarspring.Directory) ([]byte, error) {
+	m := directoryRecord{Version: d.Version, KeysRequired: d.KeysRequired}
 	for _, q := range d.Queues {
 		m.Queues = append(m.Queues, queueRecord{
 			Name: q.Name, Host: q.Host, Prefix: q.Prefix, Service: q.Service, Priority: q.Priority,
-			MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, AllowanceMs: q.Allowance.Milliseconds(),
+			MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, AllowanceMs: q.Allowance.Milliseconds(), Public: q.Public,
 		})
 	}
-	value, err := json.Marshal(m)
-	return briarspring.KeyedRecord{Key: keyDirectory, Value: value}, err
+	for _, o := range d.Organisations {
+		r := organisationRecord{
+			Name: o.Name, Weight: o.Weight, MilliCPU: o.Limit.MilliCPU(), MemoryMiB: o.Limit.MemoryMiB(), Accelerators: o.Limit.Accelerators(),
+		}
+		for _, k := range o.Keys {
+			r.KeyDigests = append(r.KeyDigests, k[:])
+		}
+		m.Organisations = append(m.Organisations, r)
+	}
+	return json.Marshal(m)
 }
 
 // OutOfServiceRecord returns the record that takes a data centre out of service
@@ -91,16 +119,34 @@
 	if err := json.Unmarshal(r.Value, &m); err != nil {
 		return briarspring.Directory{}, false, err
 	}
-	d := briarspring.Directory{Version: m.Version}
+	d := briarspring.Directory{Version: m.Version, KeysRequired: m.KeysRequired}
 	for _, q := range m.Queues {
 		d.Queues = append(d.Queues, briarspring.Queue{
 			Name: q.Name, Host: q.Host, Prefix: q.Prefix, Service: q.Service, Priority: q.Priority,
 			MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Allowance: time.Duration(q.AllowanceMs) * time.Millisecond,
+			Public: q.Public,
 		})
 	}
+	for _, r := range m.Organisations {
+		o := briarspring.Organisation{Name: r.Name, Weight: r.Weight, Limit: briarspring.NewResources(briarspring.ResourcesConfig{
+			MilliCPU: r.MilliCPU, MemoryMiB: r.MemoryMiB, Accelerators: r.Accelerators,
+		})}
+		for _, digest := range r.KeyDigests {
+			if len(digest) != len(briarspring.KeyDigest{}) {
+				return briarspring.Directory{}, false, fmt.Errorf("a digest of %d bytes", len(digest))
+			}
+			o.Keys = append(o.Keys, briarspring.KeyDigest(digest))
+		}
+		d.Organisations = append(d.Organisations, o)
+	}
 	return d, true, nil
 }
 
+// DecodeDirectoryCopy decodes a copy of a directory, which has the same form.
+func (d Decoder) DecodeDirectoryCopy(r briarspring.KeyedRecord) (briarspring.Directory, bool, error) {
+	return d.DecodeDirectory(r)
+}
+
 // DecodeOutKey returns the data centre whose state a record with this key
 // holds. It returns false for other keys.
 func (Decoder) DecodeOutKey(key string) (string, bool) { return strings.CutPrefix(key, prefixOut) }
--- a/organisation.go
+++ b/organisation.go
@@ -20,6 +20,25 @@
 	Limit  Resources // Limit on what runs in the whole fleet; a zero field is no limit.
 }
 
+// KeyIndex finds the organisation of a key. It doesn't change.
+type KeyIndex struct {
+	organisations map[KeyDigest]string
+}
+
+// NewKeyIndex returns an index of the given organisations by the digests of their keys;
+// it keeps the map.
+func NewKeyIndex(organisations map[KeyDigest]string) *KeyIndex {
+	return &KeyIndex{organisations: organisations}
+}
+
+// Organisation returns the organisation that a digest belongs to. Its time tells nothing
+// of any key: what is looked up is a hash, and whoever knew parts of a stored digest
+// would be no closer to a key with that digest.
+func (x *KeyIndex) Organisation(d KeyDigest) (name string, ok bool) {
+	name, ok = x.organisations[d]
+	return name, ok
+}
+
 // QuotaParts is the number of parts into which each organisation's limit is split.
 const QuotaParts = 10_000
 
