--- a/cmd/briarspring/ctl_workflow.go
+++ b/cmd/briarspring/ctl_workflow.go
@@ -115,6 +115,9 @@
 	return s.print(m, func(w *tabwriter.Writer) {
 		writeRow(w, "workflow", m.GetId())
 		writeRow(w, "queue", m.GetQueue())
+		if m.GetOrganisation() != "" {
+			writeRow(w, "organisation", m.GetOrganisation())
+		}
 		writeRow(w, "phase", m.GetPhase())
 		writeRow(w, "submitted", time.UnixMilli(m.GetSubmittedMs()).Format(time.RFC3339))
 		writeRow(w, "objective", milliseconds(m.GetObjectiveMs()))
--- a/operator/workflow.go
+++ b/operator/workflow.go
@@ -111,6 +111,7 @@
 		Id: string(w.ID), Queue: w.Queue, Phase: e.Phase().String(), Priority: int32(w.Priority),
 		SubmittedMs: w.Submitted.UnixMilli(), ObjectiveMs: w.Objective().Milliseconds(),
 		Tasks: int32(w.TaskCount()), TasksIn: map[string]int32{}, Recurrence: encoder.EncodeRecurrence(w.Recurrence),
+		Organisation: w.Organisation,
 	}
 	for position := range w.TaskCount() {
 		m.TasksIn[e.DataCentre(position)]++
