--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -96,6 +96,7 @@
 	workers int             // In each data centre.
 	hosts   int             // In each data centre.
 	cpu     func(i int) int // Millicores of a data centre's host.
+	revoke  time.Duration   // Time of revocation in the hosts' settings; zero for none.
 }
 
 var smallFleet = fleetSize{workers: workersPerCentre, hosts: hostsPerCentre, cpu: func(int) int { return 160 }}
@@ -181,7 +182,7 @@
 	var l *launcher.Launcher
 	l, h.intake = assembler.NewHostCore(assembler.HostConfig{
 		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: f.size.cpu(number), MaxLease: 6 * time.Second, StopTime: 3 * time.Second,
-		FinalRetention: 120 * time.Second, MaxRecordBytes: imitator.MaxRecordBytes,
+		FinalRetention: 120 * time.Second, MaxRecordBytes: imitator.MaxRecordBytes, RevokeTime: f.size.revoke,
 		Store: f.store.Client(h.caller), Workers: &watchedWorkers{PoolClient: f.pool.Client(h.caller), fleet: f, host: name}, Decoder: imitator.Decoder{},
 		Now: func() time.Duration { return time.Since(f.began) }, Logger: f.logger(h),
 	})
