--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -266,7 +266,7 @@
 	if err := a.checkSize(w, value); err != nil {
 		return err
 	}
-	err = a.store(ctx, w.ID, func() briarspring.KeyedRecord {
+	err = a.store(ctx, &c, w.ID, func() briarspring.KeyedRecord {
 		return briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID, registrar.NewAttemptID()), Value: value}
 	})
 	age, _ := a.config.Reading.Age()
@@ -348,11 +348,16 @@
 
 // store retries a write until the record is stored, the context ends, or, after an
 // attempt without a definite answer, the workflow appears in the shared state. Each
-// attempt calls record again.
-func (a *Admitter) store(ctx context.Context, id briarspring.WorkflowID, record func() briarspring.KeyedRecord) error {
+// attempt calls record again, and needs that the caller's key still counts.
+func (a *Admitter) store(ctx context.Context, c *Caller, id briarspring.WorkflowID, record func() briarspring.KeyedRecord) error {
 	unknown := false
 	known := a.isKnown(id)
 	for {
+		if err := a.recheck(c); err != nil && unknown {
+			return &briarspring.NoAnswerError{Call: "store a decision on " + string(id), Cause: err}
+		} else if err != nil {
+			return err
+		}
 		err := a.config.Shared.Write(ctx, record())
 		if err == nil {
 			return nil
@@ -451,7 +456,7 @@
 	}
 	start := time.Now()
 	defer func() { a.outcomes.Observe("cancel", outcomeOf(err), time.Since(start)) }()
-	err = a.store(ctx, id, func() briarspring.KeyedRecord {
+	err = a.store(ctx, c, id, func() briarspring.KeyedRecord {
 		return briarspring.KeyedRecord{Key: registrar.CancelKey(id), Value: []byte{1}}
 	})
 	a.config.Logger.Info("cancellation", c.logFields("workflow", id, "phase", phase.String(), "stored", err == nil, "error", err)...)
--- a/admitter/caller.go
+++ b/admitter/caller.go
@@ -49,9 +49,10 @@
 	Organisation string // Empty for none.
 	Version      uint64 // Of the directory that the call was accepted by.
 
-	hasKey  bool
-	digest  briarspring.KeyDigest
-	limited bool // The caller sees its organisation's workflows, and those without one.
+	identified bool // False for operators.
+	hasKey     bool
+	digest     briarspring.KeyDigest
+	limited    bool // The caller sees its organisation's workflows, and those without one.
 }
 
 // sees reports whether a workflow of an organisation exists for the caller. Workflows
@@ -78,6 +79,7 @@
 	if c.Queue, rest, err = a.find(directory, ok, host, path); err != nil {
 		return Caller{}, "", err
 	}
+	c.identified = true
 	if key != "" {
 		c.hasKey, c.digest = true, a.config.Digest(key)
 	}
@@ -144,6 +146,22 @@
 	return a.authorise(c, directory, index)
 }
 
+// recheck returns a *KeyError, or a *RefusedError, unless a caller still has the key of
+// the same organisation.
+func (a *Admitter) recheck(c *Caller) error {
+	if !c.identified {
+		return nil
+	}
+	now := *c
+	if err := a.renew(&now); err != nil {
+		return err
+	}
+	if now.Organisation != c.Organisation || now.limited != c.limited {
+		return &RefusedError{Reason: "the configuration has just changed", RetryAfter: minRetryAfter}
+	}
+	return nil
+}
+
 // SubmitFor accepts a caller's workflow and stores it with the caller's organisation. It
 // returns what Submit does, or a *KeyError. A workflow with the ID of another
 // organisation's one is refused.
@@ -163,14 +181,9 @@
 // *KeyError.
 func (a *Admitter) PhaseFor(ctx context.Context, c Caller, id briarspring.WorkflowID) (phase briarspring.Phase, known bool, err error) {
 	phase, known, err = a.phaseFor(ctx, &c, id)
-	before := c
-	if err := a.renew(&c); err != nil {
+	if err := a.recheck(&c); err != nil {
 		return 0, false, err
 	}
-	if c.Organisation != before.Organisation || c.limited != before.limited {
-		// What the caller sees is different now.
-		return 0, false, &RefusedError{Reason: "the configuration has just changed", RetryAfter: minRetryAfter}
-	}
 	return phase, known, err
 }
 
--- a/admitter/caller_test.go
+++ b/admitter/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -74,9 +75,15 @@
 	end     uint64
 	delayed bool
 	writes  int
+	fail    func() error // Called before each write; may be nil.
 }
 
 func (s *fakeStream) Write(_ context.Context, records ...briarspring.KeyedRecord) error {
+	if s.fail != nil {
+		if err := s.fail(); err != nil {
+			return err
+		}
+	}
 	s.writes++
 	for _, r := range records {
 		r.Offset = s.end
@@ -267,6 +274,25 @@
 	_, err = b.CancelFor(t.Context(), c, "1")
 	assertCause(t, CauseUnknown, err)
 	assert.Equal(t, writes, b.shared.writes)
+	t.Run("while the log refuses records, or answers without saying what it did", func(t *testing.T) {
+		var unanswered *briarspring.NoAnswerError
+		for _, failure := range []error{&briarspring.NotExecutedError{Reason: "r"}, &briarspring.NoAnswerError{Call: "append", Cause: context.DeadlineExceeded}} {
+			b := newBench(t)
+			c, writes := b.mustIdentify(t, "closed", keyOfAcme), b.shared.writes
+			b.shared.fail = func() error {
+				b.catalogue.set(true, nil)
+				b.shared.fail = nil
+				return failure
+			}
+			err := b.SubmitFor(t.Context(), c, workflow("5"))
+			if errors.As(failure, &unanswered) {
+				assert.ErrorAs(t, err, &unanswered, "the first attempt may have had an effect")
+			} else {
+				assertCause(t, CauseUnknown, err)
+			}
+			assert.Equal(t, writes, b.shared.writes)
+		}
+	})
 	t.Run("or whose organisation changes", func(t *testing.T) {
 		c := b.mustIdentify(t, "closed", keyOfBirch)
 		b.catalogue.set(true, map[string]string{keyOfBirch: "acme"})
--- a/cmd/briarspring/ctl_workflow_test.go
+++ b/cmd/briarspring/ctl_workflow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -11,7 +13,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"briarspring"
 	"briarspring/demonstrator"
+	"briarspring/encoder"
+	"briarspring/gen/briarspring/v1/briarspringv1connect"
+	"briarspring/operator"
+	"briarspring/registrar"
 )
 
 // ctl runs a workflow command and returns its output, or its error, and its exit
@@ -90,3 +97,27 @@
 		assert.Equal(t, exitFailure, code)
 	})
 }
+
+// oneWorkflow is an admitter with one workflow of an organisation.
+type oneWorkflow struct {
+	operator.Admitter
+	registry *registrar.Registry
+}
+
+func (o oneWorkflow) ReadRegistry(f func(*registrar.Registry)) { f(o.registry) }
+
+// Guards against operators who can't see on the command line whose a workflow is.
+func TestDescribeWorkflowOfAnOrganisation(t *testing.T) {
+	o := oneWorkflow{registry: registrar.New()}
+	value, err := encoder.EncodeSubmission(&briarspring.Workflow{Organisation: "acme", Steps: []briarspring.Step{{Tasks: 1}}})
+	require.NoError(t, err)
+	_, err = o.registry.Apply(0, briarspring.KeyedRecord{Key: registrar.SubmissionKey("w", "1"), Value: value})
+	require.NoError(t, err)
+	mux := http.NewServeMux()
+	mux.Handle(briarspringv1connect.NewWorkflowsHandler(operator.NewWorkflowServer(o, nil)))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	out, code := ctl(t, server.Listener.Addr().String(), "describe", "w")
+	assert.Zero(t, code, out)
+	assert.Regexp(t, `organisation +acme`, out)
+}
--- a/operator/workflow_test.go
+++ b/operator/workflow_test.go
@@ -116,6 +116,22 @@
 	assert.Equal(t, want, connect.CodeOf(err), err.Error())
 }
 
+// Guards against operators who can't see whose a workflow is.
+func TestOrganisationOfAWorkflow(t *testing.T) {
+	a, client := startServer(t)
+	for id, organisation := range map[string]string{"with": "acme", "without": ""} {
+		value, err := encoder.EncodeSubmission(&briarspring.Workflow{Organisation: organisation, Steps: []briarspring.Step{{Tasks: 1}}})
+		require.NoError(t, err)
+		a.apply(registrar.SubmissionKey(briarspring.WorkflowID(id), "1"), value)
+		d, err := client.DescribeWorkflow(t.Context(), connect.NewRequest(&pb.DescribeWorkflowRequest{Id: id}))
+		require.NoError(t, err)
+		assert.Equal(t, organisation, d.Msg.GetOrganisation())
+	}
+	list, err := client.ListWorkflows(t.Context(), connect.NewRequest(&pb.ListWorkflowsRequest{}))
+	require.NoError(t, err)
+	assert.Equal(t, "acme", list.Msg.GetWorkflows()[0].GetOrganisation())
+}
+
 func TestSubmittingWorkflows(t *testing.T) {
 	t.Run("returns the data centre", func(t *testing.T) {
 		_, client := startServer(t)
