--- a/cataloguer/cataloguer.go
+++ b/cataloguer/cataloguer.go
@@ -3,7 +3,6 @@
 package cataloguer
 
 import (
-	"bytes"
 	"maps"
 	"slices"
 	"sync"
@@ -29,6 +28,10 @@
 	DecodeOutKey(key string) (dataCentre string, ok bool)
 }
 
+// presentValue replaces the values of records whose presence alone counts: whatever else
+// operators write there isn't copied.
+const presentValue = "{}"
+
 // Config holds the settings of a Catalogue.
 type Config struct {
 	Decoder  Decoder
@@ -153,8 +156,9 @@
 		return
 	}
 	if name, ok := c.config.Decoder.DecodeOutKey(r.Key); ok {
-		// The value may be part of a larger response.
-		r.Value = bytes.Clone(r.Value)
+		if len(r.Value) > 0 {
+			r.Value = []byte(presentValue)
+		}
 		c.records[r.Key] = r
 		c.setOutOfService(name, len(r.Value) > 0)
 		return
--- a/cataloguer/keys_test.go
+++ b/cataloguer/keys_test.go
@@ -81,3 +81,12 @@
 	assertOrganisation(t, copied, "x", "acme")
 	assertOrganisation(t, copied, "old", "")
 }
+
+// Guards against copies of what operators note in records whose presence alone counts.
+func TestNotesOfOutOfServiceRecords(t *testing.T) {
+	c := cataloguer.New(cataloguer.Config{Decoder: imitator.Decoder{}})
+	c.Apply([]briarspring.KeyedRecord{{Key: "out/tartu", Value: []byte(`{"note":"key k1 was stolen here"}`)}, {Key: "out/voru"}})
+	assert.True(t, c.OutOfService("tartu"))
+	assert.False(t, c.OutOfService("voru"))
+	assert.Equal(t, []briarspring.KeyedRecord{{Key: "out/tartu", Value: []byte("{}")}, {Key: "out/voru"}}, c.Records())
+}
