appender: records that were not sent by the deadline are withdrawn

A caller whose record still waited in the host's queue was answered 504, that its workflow may run, and could not come back for it. It is refused now, as nothing was sent.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -7,6 +7,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"briarspring"
@@ -61,6 +62,7 @@
 type writeRequest struct {
 	records []briarspring.KeyedRecord
 	result  chan error
+	taken   *atomic.Bool // The append is sent, or the writer has withdrawn the records.
 }
 
 // bytes returns the size of the keys and values.
@@ -84,7 +86,7 @@
 // prologue alone if there is one. The error is a
 // *briarspring.NotExecutedError when certainly nothing was written.
 func (a *Appender) Write(ctx context.Context, records ...briarspring.KeyedRecord) error {
-	w := writeRequest{records: records, result: make(chan error, 1)}
+	w := writeRequest{records: records, result: make(chan error, 1), taken: new(atomic.Bool)}
 	select {
 	case a.queue <- w:
 	case <-ctx.Done():
@@ -96,6 +98,9 @@
 	case err := <-w.result:
 		return err
 	case <-ctx.Done():
+		if w.taken.CompareAndSwap(false, true) {
+			return &briarspring.NotExecutedError{Call: "append to " + a.config.Stream, Reason: "it was not sent in time"}
+		}
 		return &briarspring.NoAnswerError{Call: "append to " + a.config.Stream, Cause: ctx.Err()}
 	case <-a.done:
 		return &briarspring.NoAnswerError{Call: "append to " + a.config.Stream, Cause: context.Canceled}
@@ -158,6 +163,7 @@
 		prologue = a.config.Prologue.Records(ctx)
 	}
 	records := slices.Clone(prologue)
+	batch = slices.DeleteFunc(batch, func(w writeRequest) bool { return !w.taken.CompareAndSwap(false, true) })
 	for _, w := range batch {
 		records = append(records, w.records...)
 	}
