--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -111,9 +111,11 @@
 }
 
 // heldBack reports whether a long-running task waits although there may be room,
-// so that it isn't stopped again by the next urgent step.
+// so that it isn't stopped again by the next urgent step. One that came from another
+// data centre has waited there: tasks that were held back anew in each data centre were
+// transferred to and fro for 20 s.
 func (d *Dispatcher) heldBack(t *task) bool {
-	if !t.step.spec().LongRunning || !d.shortage.within(d.now, quietTime) {
+	if !t.step.spec().LongRunning || t.transfers > 0 || !d.shortage.within(d.now, quietTime) {
 		return false
 	}
 	if t.lastRun > 0 {
--- a/dispatcher/urgent_test.go
+++ b/dispatcher/urgent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -246,6 +247,19 @@
 		require.Len(t, list, 1)
 		assert.Equal(t, briarspring.WorkflowID("long"), list[0].Task.Workflow)
 	})
+	// Two tasks were held back in each data centre until they moved to the next one, and
+	// were not at work for 23 s.
+	t.Run("starts at once after a transfer", func(t *testing.T) {
+		s := reservedFixture(t, 0)
+		s.d.Submit(s.now, 0, workflow("urgent", step(2, 4000)), 6, nil, nil)
+		require.Len(t, stops(s.planAndApply()), 1)
+		s.addSized("w2", 30000)
+		s.d.Submit(s.now, 0, workflow("moved", longRunning(1, 5000)), 8, nil, func(int) dispatcher.Place {
+			return dispatcher.Place{Local: true, Transfers: 1, Progress: briarspring.TaskProgress{Run: 1}}
+		})
+		started := starts(s.advance(200 * time.Millisecond))
+		assert.True(t, slices.ContainsFunc(started["w2"], func(r briarspring.RunRef) bool { return r.Task.Workflow == "moved" }))
+	})
 	t.Run("leaves room where it can go elsewhere", func(t *testing.T) {
 		s := reservedFixture(t, 1)
 		s.d.Submit(s.now, 0, workflow("urgent", step(1, 4000)), 6, nil, nil)
