registrar: shares of the organisations' limits in the shared stream

Owners of data centres pass parts of limits to each other. The registry keeps the pool, the grants and the requests. A grant counts if its token is that of the claim in force at its place, and if its giver has what it gives. It states what its giver had received, so that superseded grants can be deleted though parts went back and forth: then neither of the two newest grants is possible without the other. Parts in messages are 64 bits wide, since totals only grow.

5,000 random histories with late, repeated, impossible and deleted records give the same state by following and by restoring at any point.

--- a/encoder/quota.go
+++ b/encoder/quota.go
@@ -34,6 +34,7 @@
 func EncodeQuotaGrant(g briarspring.QuotaGrant) ([]byte, error) {
 	return proto.Marshal(&pb.QuotaGrant{
 		Token: g.Token, DataCentre: g.DataCentre, Organisation: g.Organisation, Given: encodeParts(g.Given),
+		Received: encodeParts(g.Received),
 	})
 }
 
@@ -45,6 +46,7 @@
 	}
 	return briarspring.QuotaGrant{
 		Token: m.Token, DataCentre: m.DataCentre, Organisation: m.Organisation, Given: decodeParts(m.Given),
+		Received: decodeParts(m.Received),
 	}, nil
 }
 
@@ -66,7 +68,7 @@
 func encodeParts(parts map[string]int) []*pb.QuotaPart {
 	var list []*pb.QuotaPart
 	for _, name := range slices.Sorted(maps.Keys(parts)) {
-		list = append(list, &pb.QuotaPart{Name: name, Parts: uint32(parts[name])})
+		list = append(list, &pb.QuotaPart{Name: name, Parts: uint64(parts[name])})
 	}
 	return list
 }
--- a/organisation.go
+++ b/organisation.go
@@ -36,9 +36,15 @@
 	DataCentre   string // The giving data centre.
 	Organisation string
 	Given        map[string]int // Parts by receiving data centre, in total since the first grant.
+	// Received holds the parts that the giver knew to have received when it wrote the
+	// record, by giving data centre, in total. With it, hosts that restore their state
+	// can tell that the giver had what it gives though earlier records were deleted.
+	Received map[string]int
 }
 
-// QuotaRequest lists the parts that a data centre's waiting tasks need.
+// QuotaRequest lists the parts that a data centre needs to hold in all, for the
+// organisations whose tasks wait for more than it holds. A total, unlike a
+// difference, stays right while grants arrive.
 type QuotaRequest struct {
 	Token uint64         // Token of the data centre's owner.
 	Parts map[string]int // By organisation.
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -23,6 +24,10 @@
 	prefixInventory  = "i/"
 	prefixEnd        = "e/"
 	prefixDirectory  = "d/"
+
+	prefixQuotaPool    = "gp/"
+	prefixQuotaGrant   = "g/"
+	prefixQuotaRequest = "gw/"
 )
 
 // prefixKnownWorker is the prefix of workers' keys in progress streams. The other keys
@@ -107,3 +112,17 @@
 // ModelKey returns the key of the interference models that a data centre's
 // owner has learned.
 func ModelKey(dataCentre string) string { return prefixModel + dataCentre }
+
+// QuotaPoolKey returns the key of one attempt to record the data centres among which
+// limits are split.
+func QuotaPoolKey(attempt string) string { return prefixQuotaPool + attempt }
+
+// QuotaGrantKey returns the key of one attempt to record what a data centre has given
+// of an organisation's limit; number distinguishes the grants under one token.
+func QuotaGrantKey(dataCentre, organisation string, token uint64, number int, attempt string) string {
+	return prefixQuotaGrant + dataCentre + "/" + url.PathEscape(organisation) + "/" +
+		strconv.FormatUint(token, 10) + "." + strconv.Itoa(number) + "/" + attempt
+}
+
+// QuotaRequestKey returns the key of the parts that a data centre requests.
+func QuotaRequestKey(dataCentre string) string { return prefixQuotaRequest + dataCentre }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -81,6 +81,7 @@
 	models      map[string][]briarspring.InterferenceModel // By data centre.
 	inventories map[string]Inventory                       // By data centre.
 	directory   map[string][]uint64                        // See DirectoryCopies.
+	quota       *quotaState
 }
 
 // New returns the state before the first record.
@@ -94,6 +95,7 @@
 		models:      map[string][]briarspring.InterferenceModel{},
 		inventories: map[string]Inventory{},
 		directory:   map[string][]uint64{},
+		quota:       newQuotaState(),
 	}
 }
 
@@ -180,6 +182,7 @@
 	records = slices.Clone(records)
 	slices.SortFunc(records, func(a, b briarspring.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	kept := map[briarspring.WorkflowID]bool{}
+	quotaKeys := map[string]bool{}
 	var changes []Change
 	var errs []error
 	for _, rec := range records {
@@ -189,6 +192,13 @@
 		if rec.Offset >= end && isOrderSensitive(rec.Key) {
 			continue
 		}
+		if isQuotaLedger(rec.Key) {
+			quotaKeys[rec.Key] = true
+			if rec.Offset < r.applied {
+				// The claim that was in force then may have been replaced.
+				continue
+			}
+		}
 		change, err := r.applyRecord(now, rec)
 		if err != nil {
 			errs = append(errs, err)
@@ -202,6 +212,7 @@
 			r.removeWorkflow(id)
 		}
 	}
+	r.quota.prune(quotaKeys, end)
 	r.applied = max(r.applied, end)
 	return changes, errs
 }
@@ -209,7 +220,7 @@
 // isOrderSensitive reports whether the effect of a key's record depends on
 // earlier records, for example because only the first of several counts.
 func isOrderSensitive(key string) bool {
-	for _, prefix := range []string{prefixSubmission, prefixTransfer, prefixClaim} {
+	for _, prefix := range []string{prefixSubmission, prefixTransfer, prefixClaim, prefixQuotaPool, prefixQuotaGrant} {
 		if strings.HasPrefix(key, prefix) {
 			return true
 		}
@@ -227,6 +238,9 @@
 		r.applyDirectoryCopy(rec)
 		return Change{}, nil
 	}
+	if kind == prefixQuotaPool || kind == prefixQuotaGrant || kind == prefixQuotaRequest {
+		return Change{}, r.applyQuota(kind, rest, rec)
+	}
 	if len(rec.Value) == 0 {
 		if kind == prefixSubmission {
 			r.removeWorkflow(workflowIDOf(rest))
