--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -34,14 +34,15 @@
 
 // Need is what an organisation needs in a data centre, in parts of its limit.
 type Need struct {
-	InUse int // For runs that may be alive, known or not.
-	Total int // InUse and what waits for the quota.
+	InUse int  // For runs that may be alive, known or not.
+	Total int  // InUse and what waits for the quota.
+	Waits bool // Whether anything waits for the quota.
 }
 
 // NeedOf returns the need for amounts that may be in use and that wait. A negative sum,
 // which only an overflow gives, counts as all parts.
 func NeedOf(limit, inUse, waiting briarspring.Resources) Need {
-	n := Need{InUse: PartsFor(limit, saturated(inUse))}
+	n := Need{InUse: PartsFor(limit, saturated(inUse)), Waits: !waiting.IsZero()}
 	n.Total = max(n.InUse, PartsFor(limit, saturated(inUse.Add(waiting))))
 	return n
 }
@@ -49,7 +50,7 @@
 // Target returns the parts that a data centre has to request to hold in all, or zero if
 // what it holds suffices.
 func Target(need Need, held int) int {
-	if need.Total <= held || need.Total <= need.InUse {
+	if need.Total <= held || !need.Waits {
 		return 0
 	}
 	return min(briarspring.QuotaParts, (need.Total+requestStep-1)/requestStep*requestStep)
@@ -113,7 +114,7 @@
 		give(given, name, n)
 		left -= n
 	}
-	if name := closest(requesting, f); need.Total > f.Held[a.dataCentre] && a.yields(now, name, f) {
+	if name := closest(requesting, f); need.Waits && need.Total > f.Held[a.dataCentre] && a.yields(now, name, f) {
 		// Nothing that waits here fits into what is left.
 		n := max(0, min(f.Targets[name]-f.Held[name]-given[name], left-need.InUse))
 		give(given, name, n)
