steward: owners request and give parts of limits

An owner writes the pool if there is none, requests what its waiting tasks need, and gives what it doesn't need. A grant is deducted from the decision on, under the mutex under which the dispatcher plans, and written under new attempt IDs until it is stored. The dispatcher gets each organisation's weight, limit and the parts held. Without limits nothing is written.

--- a/steward/takeover.go
+++ b/steward/takeover.go
@@ -99,6 +99,7 @@
 	})
 	ow.engine.ProgressWritten(ow.fencedAt)
 	ow.engine.SetOutOfService(now, ow.config.Catalogue.OutOfService(ow.config.DataCentre))
+	ow.quota.engine = ow.engine
 	ow.config.Replica.View(func(r *registrar.Registry) {
 		ow.addKnownWorkers(now, r, recorded.workers)
 		r.Workflows(func(e *registrar.Entry) { ow.applyWorkflow(now, e, recorded.progress[e.Workflow().ID]) })
--- a/steward/term.go
+++ b/steward/term.go
@@ -78,6 +78,8 @@
 	listed     chan struct{} // Makes publishLoop publish the inventory.
 	orderSlots chan struct{} // Limits the orders in flight.
 
+	quotaWrites chan struct{} // Wakes quotaWriteLoop.
+
 	inventory []briarspring.KnownWorker // Workers of the last inventory; used by publishLoop alone.
 
 	mu       sync.Mutex
@@ -87,6 +89,7 @@
 	stored   chan struct{} // Closed and replaced when a batch is stored.
 	// reporting holds the ends that are being recorded for other data centres.
 	reporting map[dispatcher.HeldEnd]bool
+	quota     quotaBook
 }
 
 func newOwnership(o *Owner, claim registrar.Claim) *ownership {
@@ -95,7 +98,7 @@
 		started: o.config.Now(), ended: make(chan struct{}), halt: make(chan struct{}),
 		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), phases: make(chan struct{}, 1), listed: make(chan struct{}, 1),
 		orderSlots: make(chan struct{}, maxOrders), renewers: map[string]*leaseRenewer{}, stored: make(chan struct{}),
-		reporting: map[dispatcher.HeldEnd]bool{},
+		reporting: map[dispatcher.HeldEnd]bool{}, quotaWrites: make(chan struct{}, 1), quota: newQuotaBook(),
 	}
 }
 
@@ -127,6 +130,8 @@
 	var goroutines sync.WaitGroup
 	goroutines.Go(func() { ow.commitLoop(ctx) })
 	goroutines.Go(func() { ow.publishLoop(ctx) })
+	goroutines.Go(func() { ow.quotaLoop(ctx) })
+	goroutines.Go(func() { ow.quotaWriteLoop(ctx) })
 	ow.planLoop(ctx, &goroutines)
 	cancel()
 	goroutines.Wait()
@@ -230,6 +235,9 @@
 		ow.engine.SetPredecessorsNameTaken(r.PredecessorsNameTaken(now, maxUnreachable, ow.config.DataCentre))
 		ow.engine.SetPredecessorsYield(r.PredecessorsYield(now, maxUnreachable, ow.config.DataCentre))
 		ow.engine.SetSilentLeaseEnds(maps.Clone(r.SilentWorkers(ow.config.DataCentre)))
+		if ow.quota.engine != nil {
+			ow.passOrganisations(now, r)
+		}
 		if all {
 			r.Workflows(func(e *registrar.Entry) { ow.applyWorkflow(now, e, nil) })
 			return
