--- a/registrar/key.go
+++ b/registrar/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -22,6 +23,10 @@
 	prefixInventory  = "i/"
 	prefixEnd        = "e/"
 	prefixDirectory  = "d/"
+
+	prefixQuotaPool    = "gp/"
+	prefixQuotaGrant   = "g/"
+	prefixQuotaRequest = "gw/"
 )
 
 // prefixKnownWorker is the prefix of workers' keys in progress streams. The other keys
@@ -102,3 +107,17 @@
 
 // InventoryKey returns the key of a data centre's inventory.
 func InventoryKey(dataCentre string) string { return prefixInventory + dataCentre }
+
+// QuotaPoolKey returns the key of one attempt to record the data centres among which
+// limits are split.
+func QuotaPoolKey(attempt string) string { return prefixQuotaPool + attempt }
+
+// QuotaGrantKey returns the key of one attempt to record what a data centre has given
+// of an organisation's limit; number distinguishes the grants under one token.
+func QuotaGrantKey(dataCentre, organisation string, token uint64, number int, attempt string) string {
+	return prefixQuotaGrant + dataCentre + "/" + url.PathEscape(organisation) + "/" +
+		strconv.FormatUint(token, 10) + "." + strconv.Itoa(number) + "/" + attempt
+}
+
+// QuotaRequestKey returns the key of the parts that a data centre requests.
+func QuotaRequestKey(dataCentre string) string { return prefixQuotaRequest + dataCentre }
