dispatcher: keeps organisations within their share of the quota

An organisation's runs in all data centres must stay within its limit. The owner now counts what each organisation uses by every run that may be alive, and starts nothing that would exceed limit x parts / 10,000: single tasks, gangs as a whole, speculative copies, suspected tasks, and starts that wait to be stored. What runs of earlier owners may use counts as in use until the workers have reported or their leases have ended. Waiting tasks are logged and reported for requests.

--- a/dispatcher/besteffort.go
+++ b/dispatcher/besteffort.go
@@ -14,6 +14,10 @@
 		if d.startsLeft <= 0 {
 			return
 		}
+		if !d.quotaAllows(s) {
+			d.holdForQuota(s)
+			return
+		}
 		if options == nil {
 			options = d.bestEffortOptions(s)
 			defer options.release(d)
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -115,7 +115,7 @@
 		case j.removable():
 			// A job with the same ID may come before the next batch.
 			d.logUnrecorded(j, j.skipped())
-			delete(d.jobs, id)
+			d.dropJob(j)
 		default:
 			// Tasks were transferred back while the batch was being stored.
 			d.markDirty(j)
@@ -129,7 +129,7 @@
 	switch {
 	case r.worker.runs[r.ref] != r:
 		// Lost with its worker.
-	case r.stopping || d.outOfService || !r.worker.usable(d.now) || !d.mayOrder(d.now):
+	case r.stopping || d.outOfService || !r.worker.usable(d.now) || !d.mayOrder(d.now) || !d.maySend(r):
 		d.removeRun(r)
 		d.markDirty(r.task.step.job)
 	default:
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -136,6 +136,9 @@
 		if t.suspicion == 0 || !t.pending() || d.exhausted(t) || d.startsLeft <= 0 {
 			continue
 		}
+		if !d.quotaAllows(s) {
+			return
+		}
 		w := d.quietestWorker(t)
 		switch {
 		case w != nil && s.spec().BestEffort:
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -111,6 +111,10 @@
 	unmet            unmet // Needs of best-effort steps without a worker in the present pass.
 	unmetReserved    unmet // The same of steps with reserved processors.
 	optionBuffer     optionHeap
+	noRoom           unmet   // Needs of best-effort steps that wait for quota and have no room either.
+	noRoomReserved   unmet   // The same of steps with reserved processors.
+	roomHint         *worker // Had room for a step that waits for quota.
+	passes           uint64  // Planning passes so far.
 	orders           []Order
 	unsentStarts     []*run                          // Starts that are sent once they are stored.
 	dirty            map[briarspring.WorkflowID]*job // Jobs whose progress records have to be stored.
@@ -122,6 +126,14 @@
 	audit            endAudit
 	lastTransfer     int             // Number of the last transfer.
 	bestEffortImages map[string]bool // Images of best-effort tasks seen so far.
+
+	organisations        map[string]*organisation
+	organisationsKnown   bool // SetOrganisations was called.
+	directoryVersion     uint64
+	organisationCounters namedCounters
+	unseen               briarspring.Resources // At most in use by runs that are not known, see updateUnseen.
+	held                 []*organisation       // Those whose tasks wait for quota.
+	quotaAudit           endAudit
 }
 
 // Counters holds event counts of a dispatcher, for metrics.
@@ -163,6 +175,9 @@
 		takeover:         map[string]bool{},
 		takeoverLogged:   map[string]bool{},
 		bestEffortImages: map[string]bool{},
+		organisations:    map[string]*organisation{},
+
+		organisationCounters: namedCounters{},
 	}
 }
 
--- a/dispatcher/drain.go
+++ b/dispatcher/drain.go
@@ -77,7 +77,8 @@
 }
 
 // nextDrained returns a long-running run that can move to another worker. It
-// returns nil while another one is stopping or when there is no room.
+// returns nil while another one is stopping or when there is no room. Runs of an
+// organisation that uses more than its share stay, since they could not start again.
 func (d *Dispatcher) nextDrained(w *worker) *run {
 	var movable []*run
 	for _, r := range w.runs {
@@ -85,7 +86,7 @@
 		case !r.task.step.spec().LongRunning:
 		case r.stopping:
 			return nil
-		case r.state == runAlive && r.task.step.mayStopOne() && d.bestReserved(r.task) != nil:
+		case r.state == runAlive && r.task.step.mayStopOne() && d.withinShare(r.task.step.job.organisation) && d.bestReserved(r.task) != nil:
 			movable = append(movable, r)
 		}
 	}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -10,6 +10,7 @@
 // job is a workflow and the part of it that this data centre runs.
 type job struct {
 	workflow          *briarspring.Workflow
+	organisation      *organisation
 	offset            uint64          // Log offset of the submission.
 	submitted         time.Duration   // Time of the submission by this process's clock.
 	chains            []time.Duration // Longest chain that starts with each step of an occurrence.
@@ -44,6 +45,9 @@
 	waiting    int             // Tasks that are not done and have no run.
 	spread     map[*worker]int // Live runs by worker.
 	rack       string          // Rack to which the placement of a gang is limited at the moment.
+
+	heldInPass    uint64        // Last pass in which only the quota held back tasks of it.
+	quotaLoggedAt time.Duration // When that was last logged.
 }
 
 // task is one task of a step.
@@ -234,6 +238,7 @@
 		d.meanSize[w.Queue] = j.size
 	}
 	d.jobs[w.ID] = j
+	d.joinOrganisation(j)
 	d.needsPlan = true
 	if place != nil {
 		j.setPlaces(place)
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -102,6 +102,9 @@
 	d.counters.Starts++
 	d.startsLeft--
 	j := t.step.job
+	if name := j.organisation.name; name != "" {
+		d.organisationCounters.of(name).Starts++
+	}
 	d.markDirty(j)
 	d.updatePhase(j)
 	d.logger.Info("start", "workflow", j.workflow.ID, "step", t.step.number, "index", t.index, "run", r.ref.Run,
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -90,6 +90,7 @@
 
 // assign starts waiting tasks on workers.
 func (d *Dispatcher) assign() {
+	d.beginQuotaPass()
 	if d.outOfService || !d.workersListed {
 		return
 	}
@@ -138,6 +139,10 @@
 
 // assignStep starts the waiting tasks of a step.
 func (d *Dispatcher) assignStep(s *step) {
+	if !d.quotaAllows(s) {
+		d.holdForQuota(s)
+		return
+	}
 	if !s.spec().Gang {
 		d.startSuspects(s)
 	}
@@ -240,6 +245,10 @@
 		if d.startsLeft <= 0 {
 			return
 		}
+		if !d.quotaAllows(s) {
+			d.holdForQuota(s)
+			return
+		}
 		o, ok := options.take(t.avoidWorker)
 		if !ok {
 			if !d.preemptFor(t) {
--- a/dispatcher/straggler.go
+++ b/dispatcher/straggler.go
@@ -55,6 +55,9 @@
 		if first.stopping || first.unreported || d.now-first.since < limit {
 			continue
 		}
+		if !d.quotaAllows(s) {
+			return
+		}
 		t.avoidWorker = first.worker
 		w := d.bestReserved(t)
 		if w == nil || w == first.worker {
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -272,6 +272,7 @@
 	r.worker.runs[r.ref] = r
 	r.bestEffortCPU = r.worker.reserve(r.task.step.spec())
 	r.task.attachRun(r)
+	r.task.step.job.organisation.countRun(r, 1)
 	r.worker.runAdded(r)
 	d.needsPlan = true
 }
@@ -313,6 +314,7 @@
 		w.isolatedRun = nil
 	}
 	r.task.detachRun(d.now, r)
+	r.task.step.job.organisation.countRun(r, -1)
 	d.needsPlan = true
 }
 
