dispatcher: organisations share the room by weight

When there wasn't room for all, the most urgent work got it, so that one organisation that sent many times its usual delayed everybody. Within a priority, room now goes to the organisation with the lowest weighted dominant share, and what an organisation submits beyond its weight a second comes after what others submit within theirs. Where the work is of one organisation or none, or there is ample room, the order is as before.

--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -11,6 +11,7 @@
 type job struct {
 	workflow          *briarspring.Workflow
 	organisation      *organisation
+	beyondWeight      bool            // Submitted beyond the rate that the organisation's weight stands for.
 	offset            uint64          // Log offset of the submission.
 	submitted         time.Duration   // Time of the submission by this process's clock.
 	chains            []time.Duration // Longest chain that starts with each step of an occurrence.
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -102,8 +102,8 @@
 	d.counters.Starts++
 	d.startsLeft--
 	j := t.step.job
-	if name := j.organisation.name; name != "" {
-		d.organisationCounters.of(name).Starts++
+	if o := j.organisation; o.name != "" {
+		d.countersOf(o).Starts++
 	}
 	d.markDirty(j)
 	d.updatePhase(j)
--- a/dispatcher/organisation.go
+++ b/dispatcher/organisation.go
@@ -29,10 +29,18 @@
 	weight  float64
 	limit   briarspring.Resources
 	parts   int
-	listed  bool // In the last list.
-	jobs    int  // Jobs of it that the dispatcher holds.
+	share   briarspring.Resources // Of the limit, by parts; see shareOf.
+	whole   briarspring.Resources // The same of all parts.
+	listed  bool                  // In the last list.
+	jobs    int                   // Jobs of it that the dispatcher holds.
 	used    briarspring.Resources
 	waiting briarspring.Resources // As of the last pass.
+
+	uses         []classUse             // What used consists of.
+	queue        []rankedStep           // Waiting steps, while a pass orders them.
+	submissions  map[int64]*submissions // By window.
+	newestWindow int64
+	counters     *OrganisationCounters // Nil before the first event.
 }
 
 // defaultWeight is the weight of an organisation whose weight is not known or not
@@ -43,7 +51,8 @@
 func (d *Dispatcher) organisationOf(name string) *organisation {
 	o := d.organisations[name]
 	if o == nil {
-		o = &organisation{name: name, weight: defaultWeight}
+		o = &organisation{name: name, weight: defaultWeight, submissions: map[int64]*submissions{}, newestWindow: math.MinInt64}
+		o.setLimit(briarspring.Resources{}, 0)
 		d.organisations[name] = o
 	}
 	return o
@@ -76,14 +85,22 @@
 		if o.limit != entry.Limit || o.parts != entry.Parts || o.weight != weight {
 			d.needsPlan = true
 		}
-		o.limit, o.parts = entry.Limit, min(max(0, entry.Parts), briarspring.QuotaParts)
-		o.weight = weight
+		o.setLimit(entry.Limit, min(max(0, entry.Parts), briarspring.QuotaParts))
+		if o.weight != weight {
+			o.weight = weight
+			o.reclassify()
+		}
 	}
 	for _, o := range d.organisations {
 		d.forgetOrganisation(o)
 	}
 }
 
+func (o *organisation) setLimit(limit briarspring.Resources, parts int) {
+	o.limit, o.parts = limit, parts
+	o.share, o.whole = shareOf(limit, parts), shareOf(limit, briarspring.QuotaParts)
+}
+
 // forgetOrganisation drops an organisation that is not listed and has no job here.
 func (d *Dispatcher) forgetOrganisation(o *organisation) {
 	if !o.listed && o.jobs == 0 {
@@ -95,19 +112,23 @@
 func (d *Dispatcher) joinOrganisation(j *job) {
 	j.organisation = d.organisationOf(j.workflow.Organisation)
 	j.organisation.jobs++
+	j.organisation.recordSubmission(j)
 }
 
 // dropJob forgets a job, which has no live runs.
 func (d *Dispatcher) dropJob(j *job) {
 	delete(d.jobs, j.workflow.ID)
 	j.organisation.jobs--
+	j.organisation.forgetSubmission(j)
 	d.forgetOrganisation(j.organisation)
 }
 
 // countRun adds what a run that may be alive uses; sign is -1 to take it away again.
 func (o *organisation) countRun(r *run, sign int64) {
 	spec := r.task.step.spec()
-	o.used = o.used.Add(spec.Resources.Times(sign))
+	amount := spec.Resources.Times(sign)
+	o.used = o.used.Add(amount)
+	o.countUse(classOf(r.task.step), amount)
 }
 
 // OrganisationUse returns the use of each organisation with a limit, for those where
@@ -158,9 +179,17 @@
 	return n[name]
 }
 
-// OrganisationCounters returns the event counts so far of at most 32 names; those of
-// further organisations are counted as "other".
-func (d *Dispatcher) OrganisationCounters() map[string]OrganisationCounters {
+// countersOf returns the counters of an organisation with a name.
+func (d *Dispatcher) countersOf(o *organisation) *OrganisationCounters {
+	if o.counters == nil {
+		o.counters = d.organisationCounters.of(o.name)
+	}
+	return o.counters
+}
+
+// organisationCounts returns the event counts so far of at most 32 names; those of further
+// organisations are counted as "other".
+func (d *Dispatcher) organisationCounts() map[string]OrganisationCounters {
 	list := map[string]OrganisationCounters{}
 	for name, c := range d.organisationCounters {
 		list[name] = *c
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -118,9 +118,7 @@
 		}
 	}
 	slices.SortFunc(reserved, compareReserved)
-	for _, c := range reserved {
-		d.assignStep(c.step)
-	}
+	d.assignInOrder(reserved)
 	for _, j := range d.jobs {
 		if j.inactive() {
 			continue
@@ -132,9 +130,7 @@
 		}
 	}
 	slices.SortFunc(bestEffort, compareBestEffort)
-	for _, c := range bestEffort {
-		d.assignStep(c.step)
-	}
+	d.assignInOrder(bestEffort)
 }
 
 // assignStep starts the waiting tasks of a step.
--- a/dispatcher/quota.go
+++ b/dispatcher/quota.go
@@ -40,8 +40,8 @@
 
 // quotaView is what the decision on a start needs to know of an organisation.
 type quotaView struct {
-	limit    briarspring.Resources // A zero field is no limit.
-	parts    int
+	share    briarspring.Resources // Of the limit; unlimited where there is none.
+	whole    briarspring.Resources // The limit, likewise.
 	used     briarspring.Resources
 	possible briarspring.Resources // At most in use by unknown runs; may exceed the share.
 }
@@ -52,13 +52,11 @@
 func (v quotaView) allows(task briarspring.Resources, tasks int) bool {
 	need := task.Times(int64(tasks))
 	total := v.used.Add(need)
-	share := shareOf(v.limit, v.parts)
-	if total.Fits(share) {
+	if total.Fits(v.share) {
 		// Compared as differences, since what is possible may be close to the largest int64.
-		return v.possible.Fits(limitedDifference(share, total))
+		return v.possible.IsZero() || v.possible.Fits(limitedDifference(v.share, total))
 	}
-	whole := shareOf(v.limit, briarspring.QuotaParts)
-	return v.parts == briarspring.QuotaParts && !need.Fits(whole) && task.Times(int64(tasks-1)).Fits(whole) &&
+	return v.share == v.whole && !need.Fits(v.whole) && task.Times(int64(tasks-1)).Fits(v.whole) &&
 		v.used.IsZero() && v.possible.IsZero()
 }
 
@@ -82,24 +80,23 @@
 // predecessor may have started beyond the use that is known. Dimensions without a
 // limit are zero.
 func (v quotaView) bounded() briarspring.Resources {
-	share := shareOf(v.limit, v.parts)
-	left := limitedDifference(share, v.used)
-	field := func(limit, possible, left int64) int64 {
-		if limit == 0 {
+	left := limitedDifference(v.share, v.used)
+	field := func(share, possible, left int64) int64 {
+		if share == unlimited {
 			return 0
 		}
 		return max(0, min(possible, left))
 	}
 	return briarspring.NewResources(briarspring.ResourcesConfig{
-		MilliCPU:     field(v.limit.MilliCPU(), v.possible.MilliCPU(), left.MilliCPU()),
-		MemoryMiB:    field(v.limit.MemoryMiB(), v.possible.MemoryMiB(), left.MemoryMiB()),
-		Accelerators: field(v.limit.Accelerators(), v.possible.Accelerators(), left.Accelerators()),
+		MilliCPU:     field(v.share.MilliCPU(), v.possible.MilliCPU(), left.MilliCPU()),
+		MemoryMiB:    field(v.share.MemoryMiB(), v.possible.MemoryMiB(), left.MemoryMiB()),
+		Accelerators: field(v.share.Accelerators(), v.possible.Accelerators(), left.Accelerators()),
 	})
 }
 
 // quotaView returns the view of an organisation as of the last call of updateUnseen.
 func (d *Dispatcher) quotaView(o *organisation) quotaView {
-	return quotaView{limit: o.limit, parts: o.parts, used: o.used, possible: d.unseen}
+	return quotaView{share: o.share, whole: o.whole, used: o.used, possible: d.unseen}
 }
 
 // possible returns what runs that are not known yet may use at most.
@@ -129,7 +126,7 @@
 // withinShare reports whether an organisation uses no more than its share, so that a
 // run of it that stops may start again.
 func (d *Dispatcher) withinShare(o *organisation) bool {
-	return o.name == "" || d.organisationsKnown && o.used.Fits(shareOf(o.limit, o.parts))
+	return o.name == "" || d.organisationsKnown && o.used.Fits(o.share)
 }
 
 // maySend reports whether a run whose order waits to be sent is still within the
@@ -208,7 +205,7 @@
 	}
 	o.waiting = o.waiting.Add(s.spec().Resources.Times(int64(tasks)))
 	if s.heldInPass == 0 || s.heldInPass < d.passes-1 {
-		d.organisationCounters.of(o.name).QuotaWaits += uint64(tasks)
+		d.countersOf(o).QuotaWaits += uint64(tasks)
 	}
 	s.heldInPass = d.passes
 	d.logQuotaWait(s, tasks)
@@ -285,7 +282,7 @@
 
 // formatShare returns the share of an organisation for log lines, with zero for no limit.
 func formatShare(o *organisation) string {
-	return eachDimension(shareOf(o.limit, o.parts), func(n int64) int64 {
+	return eachDimension(o.share, func(n int64) int64 {
 		if n == unlimited {
 			return 0
 		}
--- /dev/null
+++ b/dispatcher/share.go
@@ -0,0 +1,195 @@
+package dispatcher
+
+import (
+	"container/heap"
+	"slices"
+
+	"briarspring"
+)
+
+const (
+	// leastTurn is how many tasks of one organisation start at least before it is
+	// another's turn. Each turn looks at every worker anew, and turns of single tasks
+	// would make a start several times as expensive.
+	leastTurn = 8
+	// amplePart is the part of the free room up to which the needs of all waiting steps
+	// count as fitting, whatever the order: not all room is where a task can use it.
+	amplePart = 0.5
+)
+
+// useClass is a kind of work for which shares are compared. Long-running tasks are apart
+// from others: they hold their room for as long as the service exists, so an organisation
+// with services would otherwise get no room for anything else while others wait.
+type useClass struct {
+	priority    int
+	longRunning bool
+}
+
+// classUse is what an organisation uses for a kind of work.
+type classUse struct {
+	class useClass
+	used  briarspring.Resources
+}
+
+func classOf(s *step) useClass {
+	return useClass{priority: s.job.workflow.Priority, longRunning: s.spec().LongRunning}
+}
+
+// countUse adds an amount to the use for a kind of work.
+func (o *organisation) countUse(c useClass, amount briarspring.Resources) {
+	for i := range o.uses {
+		if u := &o.uses[i]; u.class == c {
+			u.used = u.used.Add(amount)
+			if u.used.IsZero() {
+				o.uses = slices.Delete(o.uses, i, i+1)
+			}
+			return
+		}
+	}
+	o.uses = append(o.uses, classUse{class: c, used: amount})
+}
+
+func (o *organisation) usedFor(c useClass) briarspring.Resources {
+	for _, u := range o.uses {
+		if u.class == c {
+			return u.used
+		}
+	}
+	return briarspring.Resources{}
+}
+
+// assignInOrder starts the waiting tasks of sorted candidates. Where there isn't room for
+// all, organisations share it within each priority.
+func (d *Dispatcher) assignInOrder(list []candidate) {
+	for len(list) > 0 {
+		n := 1
+		several := false
+		for n < len(list) && list[n].step.job.workflow.Priority == list[0].step.job.workflow.Priority {
+			several = several || list[n].step.job.organisation != list[0].step.job.organisation
+			n++
+		}
+		d.assignPriority(list[:n], several)
+		list = list[n:]
+	}
+}
+
+// assignPriority starts the waiting tasks of the candidates of one priority; several says
+// whether they are of more than one organisation.
+func (d *Dispatcher) assignPriority(list []candidate, several bool) {
+	if !several || d.ampleRoom(list) {
+		for _, c := range list {
+			d.assignStep(c.step)
+		}
+		return
+	}
+	var beyond []candidate
+	within := make([]candidate, 0, len(list))
+	for _, c := range list {
+		if c.step.job.beyondWeight {
+			beyond = append(beyond, c)
+		} else {
+			within = append(within, c)
+		}
+	}
+	capacity := d.capacity()
+	d.assignFairly(within, capacity)
+	d.assignFairly(beyond, capacity)
+}
+
+// ampleRoom reports whether there is so much room for the waiting tasks of candidates that
+// their order doesn't matter.
+func (d *Dispatcher) ampleRoom(list []candidate) bool {
+	var need briarspring.Resources
+	tasks := 0
+	for _, c := range list {
+		need = need.Add(c.step.spec().Resources.Times(int64(c.step.waiting)))
+		tasks += c.step.waiting
+	}
+	return tasks <= d.startsLeft && within(need, d.room(list[0].step.spec().BestEffort), amplePart)
+}
+
+// room returns the free room of all workers that take starts.
+func (d *Dispatcher) room(bestEffort bool) briarspring.Resources {
+	var sum briarspring.Resources
+	for _, w := range d.workersByID {
+		if !w.acceptsStarts(d.now) {
+			continue
+		}
+		free := w.free().Max(briarspring.Resources{})
+		if bestEffort {
+			free = briarspring.NewResources(briarspring.ResourcesConfig{
+				MilliCPU: max(0, int64(w.idle())), MemoryMiB: free.MemoryMiB(), Accelerators: free.Accelerators(),
+			})
+		}
+		sum = sum.Add(free)
+	}
+	return sum
+}
+
+// capacity returns the capacity of all listed workers.
+func (d *Dispatcher) capacity() briarspring.Resources {
+	var sum briarspring.Resources
+	for _, w := range d.workersByID {
+		if w.listed {
+			sum = sum.Add(w.entry.Capacity)
+		}
+	}
+	return sum
+}
+
+// assignFairly starts the waiting tasks of sorted candidates, in turn those of the
+// organisation that uses least by its weight.
+func (d *Dispatcher) assignFairly(list []candidate, capacity briarspring.Resources) {
+	var claims claimHeap
+	for rank, c := range list {
+		o := c.step.job.organisation
+		if len(o.queue) == 0 {
+			claims = append(claims, claim{organisation: o})
+		}
+		o.queue = append(o.queue, rankedStep{step: c.step, rank: rank})
+	}
+	for i := range claims {
+		claims[i].update(capacity)
+	}
+	heap.Init(&claims)
+	for len(claims) > 0 {
+		c := claims[0]
+		o := c.organisation
+		s := o.queue[0].step
+		if !d.assignTurn(s, turn(c.share, claims.next(), dominantShare(s.spec().Resources, capacity, o.weight), leastTurn)) {
+			o.queue = o.queue[1:]
+		}
+		if len(o.queue) == 0 {
+			heap.Pop(&claims)
+			o.queue = nil
+			continue
+		}
+		claims[0].update(capacity)
+		heap.Fix(&claims, 0)
+	}
+}
+
+// rankedStep is a step with its place in the order without organisations.
+type rankedStep struct {
+	step *step
+	rank int
+}
+
+// update computes the claim of an organisation's first waiting step.
+func (c *claim) update(capacity briarspring.Resources) {
+	first := c.organisation.queue[0]
+	c.rank = first.rank
+	c.share = dominantShare(c.organisation.usedFor(classOf(first.step)), capacity, c.organisation.weight)
+}
+
+// assignTurn starts at most so many waiting tasks of a step, or all of a gang, and reports
+// whether more of them could start at the next turn.
+func (d *Dispatcher) assignTurn(s *step, most int) bool {
+	left := d.startsLeft
+	d.startsLeft = min(left, most)
+	given := d.startsLeft
+	d.assignStep(s)
+	started := given - d.startsLeft
+	d.startsLeft = left - started
+	return started >= most && s.waiting > 0 && d.startsLeft > 0
+}
