--- a/dispatcher/fairness.go
+++ b/dispatcher/fairness.go
@@ -42,16 +42,34 @@
 }
 
 // turn returns how many tasks of a claimant start before it is the next one's turn: as
-// many as bring its share above the next one's, but at least least. grain is what one
-// task adds to the share.
-func turn(share, next, grain float64, least int) int {
-	n := math.Floor((next-share)/grain) + 1
+// many as bring its share above the next one's, but at least least, and as many as add
+// part to its share. grain is what one task adds to it.
+func turn(share, next, part, grain float64, least int) int {
+	n := math.Floor(max(next-share, part)/grain) + 1
 	if !(n < math.MaxInt32) { // Also without a next one, or if tasks add nothing.
 		return math.MaxInt32
 	}
 	return max(least, int(n))
 }
 
+// equalPart returns what each claimant's share may grow by if the room is divided between
+// them, where weights is the sum of their weights. It is zero if there is none in some
+// dimension.
+func equalPart(room, capacity briarspring.Resources, weights float64) float64 {
+	smallest := math.Inf(1)
+	for _, of := range [][2]int64{
+		{room.MilliCPU(), capacity.MilliCPU()}, {room.MemoryMiB(), capacity.MemoryMiB()}, {room.Accelerators(), capacity.Accelerators()},
+	} {
+		if of[1] > 0 {
+			smallest = min(smallest, float64(of[0])/float64(of[1]))
+		}
+	}
+	if math.IsInf(smallest, 1) {
+		return 0
+	}
+	return smallest / weights
+}
+
 // within reports whether an amount takes up at most a given part of the room in each
 // dimension.
 func within(amount, room briarspring.Resources, part float64) bool {
--- a/dispatcher/organisation.go
+++ b/dispatcher/organisation.go
@@ -51,7 +51,7 @@
 func (d *Dispatcher) organisationOf(name string) *organisation {
 	o := d.organisations[name]
 	if o == nil {
-		o = &organisation{name: name, weight: defaultWeight, submissions: map[int64]*submissions{}, newestWindow: math.MinInt64}
+		o = &organisation{name: name, weight: defaultWeight, newestWindow: math.MinInt64}
 		o.setLimit(briarspring.Resources{}, 0)
 		d.organisations[name] = o
 	}
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -10,7 +10,8 @@
 const (
 	// leastTurn is how many tasks of one organisation start at least before it is
 	// another's turn. Each turn looks at every worker anew, and turns of single tasks
-	// would make a start several times as expensive.
+	// would make a start several times as expensive. Where there is much room, turns are
+	// longer: an equal part of it.
 	leastTurn = 8
 	// amplePart is the part of the free room up to which the needs of all waiting steps
 	// count as fitting, whatever the order: not all room is where a task can use it.
@@ -76,7 +77,11 @@
 // assignPriority starts the waiting tasks of the candidates of one priority; several says
 // whether they are of more than one organisation.
 func (d *Dispatcher) assignPriority(list []candidate, several bool) {
-	if !several || d.ampleRoom(list) {
+	var room briarspring.Resources
+	if several {
+		room = d.room(list[0].step.spec().BestEffort)
+	}
+	if !several || d.fitsAmply(list, room) {
 		for _, c := range list {
 			d.assignStep(c.step)
 		}
@@ -92,20 +97,21 @@
 		}
 	}
 	capacity := d.capacity()
-	d.assignFairly(within, capacity)
-	d.assignFairly(beyond, capacity)
+	d.assignFairly(within, room, capacity)
+	// Little of the room is left after the others.
+	d.assignFairly(beyond, briarspring.Resources{}, capacity)
 }
 
-// ampleRoom reports whether there is so much room for the waiting tasks of candidates that
+// fitsAmply reports whether there is so much room for the waiting tasks of candidates that
 // their order doesn't matter.
-func (d *Dispatcher) ampleRoom(list []candidate) bool {
+func (d *Dispatcher) fitsAmply(list []candidate, room briarspring.Resources) bool {
 	var need briarspring.Resources
 	tasks := 0
 	for _, c := range list {
 		need = need.Add(c.step.spec().Resources.Times(int64(c.step.waiting)))
 		tasks += c.step.waiting
 	}
-	return tasks <= d.startsLeft && within(need, d.room(list[0].step.spec().BestEffort), amplePart)
+	return tasks <= d.startsLeft && within(need, room, amplePart)
 }
 
 // room returns the free room of all workers that take starts.
@@ -138,13 +144,15 @@
 }
 
 // assignFairly starts the waiting tasks of sorted candidates, in turn those of the
-// organisation that uses least by its weight.
-func (d *Dispatcher) assignFairly(list []candidate, capacity briarspring.Resources) {
+// organisation that uses least by its weight. The room determines how long a turn is.
+func (d *Dispatcher) assignFairly(list []candidate, room, capacity briarspring.Resources) {
 	var claims claimHeap
+	weights := 0.0
 	for rank, c := range list {
 		o := c.step.job.organisation
 		if len(o.queue) == 0 {
 			claims = append(claims, claim{organisation: o})
+			weights += o.weight
 		}
 		o.queue = append(o.queue, rankedStep{step: c.step, rank: rank})
 	}
@@ -152,11 +160,12 @@
 		claims[i].update(capacity)
 	}
 	heap.Init(&claims)
+	part := equalPart(room, capacity, weights)
 	for len(claims) > 0 {
 		c := claims[0]
 		o := c.organisation
 		s := o.queue[0].step
-		if !d.assignTurn(s, turn(c.share, claims.next(), dominantShare(s.spec().Resources, capacity, o.weight), leastTurn)) {
+		if !d.assignTurn(s, turn(c.share, claims.next(), part, dominantShare(s.spec().Resources, capacity, o.weight), leastTurn)) {
 			o.queue = o.queue[1:]
 		}
 		if len(o.queue) == 0 {
--- a/dispatcher/submission.go
+++ b/dispatcher/submission.go
@@ -69,6 +69,9 @@
 		o.newestWindow = max(o.newestWindow, number)
 		o.forgetWindows()
 		s = &submissions{}
+		if o.submissions == nil {
+			o.submissions = map[int64]*submissions{}
+		}
 		o.submissions[number] = s
 	}
 	s.jobs++
