dispatcher: cheaper turns, and the cost of organisations as measured

A pass over waiting work of many organisations allocated a queue for each. Queues and claims are reused now, and unknown runs are looked for only where there are limits.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -111,6 +111,7 @@
 	unmet            unmet // Needs of best-effort steps without a worker in the present pass.
 	unmetReserved    unmet // The same of steps with reserved processors.
 	optionBuffer     optionHeap
+	claimBuffer      []claim
 	noRoom           unmet   // Needs of best-effort steps that wait for quota and have no room either.
 	noRoomReserved   unmet   // The same of steps with reserved processors.
 	roomHint         *worker // Had room for a step that waits for quota.
@@ -129,6 +130,7 @@
 
 	organisations        map[string]*organisation
 	organisationsKnown   bool // SetOrganisations was called.
+	limited              bool // An organisation has a limit.
 	directoryVersion     uint64
 	organisationCounters namedCounters
 	unseen               briarspring.Resources // At most in use by runs that are not known, see updateUnseen.
--- a/dispatcher/fairness.go
+++ b/dispatcher/fairness.go
@@ -78,10 +78,11 @@
 		fits(amount.Accelerators(), room.Accelerators())
 }
 
-// claim is a claimant with its queue, for the heap.
+// claim is a claimant with the queue of its organisation, for the heap.
 type claim struct {
 	claimant
 	organisation *organisation
+	first        int // Of the queue's steps that have not had their turns.
 }
 
 // claimHeap is a heap of claims, the first one on top.
--- a/dispatcher/organisation.go
+++ b/dispatcher/organisation.go
@@ -91,8 +91,10 @@
 			o.reclassify()
 		}
 	}
+	d.limited = false
 	for _, o := range d.organisations {
 		d.forgetOrganisation(o)
+		d.limited = d.limited || !o.limit.IsZero()
 	}
 }
 
--- a/dispatcher/quota.go
+++ b/dispatcher/quota.go
@@ -147,6 +147,9 @@
 func (d *Dispatcher) updateUnseen() {
 	all := eachDimension(briarspring.Resources{}, func(int64) int64 { return unlimited })
 	d.unseen = briarspring.Resources{}
+	if !d.limited {
+		return
+	}
 	if d.config.Predecessor && (!d.workersListed || d.now < d.startsFrom) {
 		d.unseen = all // The list of workers may be incomplete.
 		return
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 
@@ -87,19 +88,26 @@
 		}
 		return
 	}
-	var beyond []candidate
-	within := make([]candidate, 0, len(list))
-	for _, c := range list {
-		if c.step.job.beyondWeight {
-			beyond = append(beyond, c)
-		} else {
-			within = append(within, c)
-		}
+	// Sorted stably, so that each class keeps its order.
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Compare(beyondWeight(a), beyondWeight(b))
+	})
+	n := 0
+	for n < len(list) && beyondWeight(list[n]) == 0 {
+		n++
 	}
 	capacity := d.capacity()
-	d.assignFairly(within, room, capacity)
+	d.assignFairly(list[:n], room, capacity)
 	// Little of the room is left after the others.
-	d.assignFairly(beyond, briarspring.Resources{}, capacity)
+	d.assignFairly(list[n:], briarspring.Resources{}, capacity)
+}
+
+// beyondWeight returns 1 for work that its organisation submitted beyond its weight.
+func beyondWeight(c candidate) int {
+	if c.step.job.beyondWeight {
+		return 1
+	}
+	return 0
 }
 
 // fitsAmply reports whether there is so much room for the waiting tasks of candidates that
@@ -146,7 +154,7 @@
 // assignFairly starts the waiting tasks of sorted candidates, in turn those of the
 // organisation that uses least by its weight. The room determines how long a turn is.
 func (d *Dispatcher) assignFairly(list []candidate, room, capacity briarspring.Resources) {
-	var claims claimHeap
+	claims := claimHeap(d.claimBuffer[:0])
 	weights := 0.0
 	for rank, c := range list {
 		o := c.step.job.organisation
@@ -156,25 +164,30 @@
 		}
 		o.queue = append(o.queue, rankedStep{step: c.step, rank: rank})
 	}
+	d.claimBuffer = claims
 	for i := range claims {
 		claims[i].update(capacity)
 	}
 	heap.Init(&claims)
 	part := equalPart(room, capacity, weights)
 	for len(claims) > 0 {
-		c := claims[0]
+		c := &claims[0]
 		o := c.organisation
-		s := o.queue[0].step
+		s := o.queue[c.first].step
 		if !d.assignTurn(s, turn(c.share, claims.next(), part, dominantShare(s.spec().Resources, capacity, o.weight), leastTurn)) {
-			o.queue = o.queue[1:]
+			c.first++
 		}
-		if len(o.queue) == 0 {
-			heap.Pop(&claims)
-			o.queue = nil
-			continue
+		if c.first == len(o.queue) {
+			clear(o.queue) // Keeps no finished job in memory.
+			o.queue = o.queue[:0]
+			last := len(claims) - 1
+			claims[0], claims = claims[last], claims[:last] // Without the allocation of heap.Pop.
+		} else {
+			c.update(capacity)
+		}
+		if len(claims) > 1 {
+			heap.Fix(&claims, 0)
 		}
-		claims[0].update(capacity)
-		heap.Fix(&claims, 0)
 	}
 }
 
@@ -186,7 +199,7 @@
 
 // update computes the claim of an organisation's first waiting step.
 func (c *claim) update(capacity briarspring.Resources) {
-	first := c.organisation.queue[0]
+	first := c.organisation.queue[c.first]
 	c.rank = first.rank
 	c.share = dominantShare(c.organisation.usedFor(classOf(first.step)), capacity, c.organisation.weight)
 }
--- a/dispatcher/share_burst_test.go
+++ b/dispatcher/share_burst_test.go
@@ -170,3 +170,22 @@
 		}
 	}
 }
+
+// BenchmarkIdlePassOfOrganisations measures a pass that finds nothing to start, with work for
+// more than twice the room.
+func BenchmarkIdlePassOfOrganisations(b *testing.B) {
+	for _, workers := range []int{60, 220, 440} {
+		for _, organisations := range []int{0, 560} {
+			b.Run(fmt.Sprintf("workers-%d-organisations-%d", workers, organisations), func(b *testing.B) {
+				s := newSharedBurst(b, workers, workers/2, organisations)
+				for countRuns(starts(s.planAndApply())) > 0 {
+					s.renewAll()
+				}
+				for b.Loop() {
+					s.d.ForcePlan()
+					s.d.Plan(s.now)
+				}
+			})
+		}
+	}
+}
