dispatcher: counters by organisation apart from the others

TestCountersOf of assembler checks that each field of Counters is published, as a number; the map by organisation broke it. The counts have a method of their own, OrganisationCounters, and are not published yet: that needs an accessor of the steward.

--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -99,27 +99,9 @@
 		}
 		return owned
 	}))
-	m.Publish("organisations-of", expvar.Func(func() any {
-		owned := map[string]any{}
-		for name, s := range owners {
-			if c, ok := s.Counters(); ok && len(c.Organisations) > 0 {
-				owned[name] = organisationCountersOf(c)
-			}
-		}
-		return owned
-	}))
 	l.Add("metrics", m)
 }
 
-// organisationCountersOf returns an owner's counters by organisation and metric name.
-func organisationCountersOf(c dispatcher.Counters) map[string]map[string]uint64 {
-	list := map[string]map[string]uint64{}
-	for name, o := range c.Organisations {
-		list[name] = map[string]uint64{"starts": o.Starts, "quota-waits": o.QuotaWaits}
-	}
-	return list
-}
-
 // countersOf returns an owner's counters by metric name.
 func countersOf(c dispatcher.Counters) map[string]uint64 {
 	return map[string]uint64{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -157,8 +157,6 @@
 	UnrecordedEnds uint64 // Ends that are acknowledged without a record.
 	FinalEnds      uint64 // Ends of final or cancelled workflows, which need no record.
 	HeldEnds       uint64 // Ends that are not acknowledged until their task is known.
-
-	Organisations map[string]OrganisationCounters // See organisationCounts.
 }
 
 // New returns the state of an owner whose claim took effect at now.
@@ -189,11 +187,7 @@
 func (d *Dispatcher) Superseded() bool { return d.superseded }
 
 // Counters returns the event counts so far.
-func (d *Dispatcher) Counters() Counters {
-	c := d.counters
-	c.Organisations = d.organisationCounts()
-	return c
-}
+func (d *Dispatcher) Counters() Counters { return d.counters }
 
 // SetOutOfService sets whether operators have taken the data centre out of
 // service.
--- a/dispatcher/organisation.go
+++ b/dispatcher/organisation.go
@@ -189,9 +189,9 @@
 	return o.counters
 }
 
-// organisationCounts returns the event counts so far of at most 32 names; those of further
+// OrganisationCounters returns the event counts so far of at most 32 names; those of further
 // organisations are counted as "other".
-func (d *Dispatcher) organisationCounts() map[string]OrganisationCounters {
+func (d *Dispatcher) OrganisationCounters() map[string]OrganisationCounters {
 	list := map[string]OrganisationCounters{}
 	for name, c := range d.organisationCounters {
 		list[name] = *c
--- a/dispatcher/organisation_test.go
+++ b/dispatcher/organisation_test.go
@@ -328,7 +328,7 @@
 	}
 	s.planAndApply()
 	s.planAndApply()
-	counters := s.d.Counters().Organisations
+	counters := s.d.OrganisationCounters()
 	assert.Len(t, counters, 32)
 	var sum dispatcher.OrganisationCounters
 	for _, c := range counters {
