--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -99,9 +99,27 @@
 		}
 		return owned
 	}))
+	m.Publish("organisations", expvar.Func(func() any {
+		owned := map[string]any{}
+		for name, s := range owners {
+			if counters, ok := s.OrganisationCounters(); ok && len(counters) > 0 {
+				owned[name] = organisationCountersOf(counters)
+			}
+		}
+		return owned
+	}))
 	l.Add("metrics", m)
 }
 
+// organisationCountersOf returns an owner's counters by organisation and metric name.
+func organisationCountersOf(counters map[string]dispatcher.OrganisationCounters) map[string]map[string]uint64 {
+	list := make(map[string]map[string]uint64, len(counters))
+	for name, c := range counters {
+		list[name] = map[string]uint64{"starts": c.Starts, "quota-waits": c.QuotaWaits}
+	}
+	return list
+}
+
 // countersOf returns an owner's counters by metric name.
 func countersOf(c dispatcher.Counters) map[string]uint64 {
 	return map[string]uint64{
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -90,6 +90,7 @@
 
 // assign starts waiting tasks on workers.
 func (d *Dispatcher) assign() {
+	d.beginQuotaPass()
 	if d.outOfService || !d.workersListed {
 		return
 	}
@@ -118,9 +119,7 @@
 	}
 	slices.SortFunc(reserved, compareReserved)
 	d.orderUrgent(reserved)
-	for _, c := range reserved {
-		d.assignStep(c.step)
-	}
+	d.assignInOrder(reserved)
 	d.makeRoom(reserved)
 	for _, j := range d.jobs {
 		if j.inactive() {
@@ -133,13 +132,15 @@
 		}
 	}
 	slices.SortFunc(bestEffort, compareBestEffort)
-	for _, c := range bestEffort {
-		d.assignStep(c.step)
-	}
+	d.assignInOrder(bestEffort)
 }
 
 // assignStep starts the waiting tasks of a step.
 func (d *Dispatcher) assignStep(s *step) {
+	if !d.quotaAllows(s) {
+		d.holdForQuota(s)
+		return
+	}
 	if !s.spec().Gang {
 		d.startSuspects(s)
 	}
@@ -242,6 +243,10 @@
 		if d.startsLeft <= 0 {
 			return
 		}
+		if !d.quotaAllows(s) {
+			d.holdForQuota(s)
+			return
+		}
 		o, ok := options.take(t.avoidWorker)
 		if !ok {
 			if !d.preemptFor(t) {
--- a/dispatcher/room.go
+++ b/dispatcher/room.go
@@ -17,8 +17,8 @@
 	// The largest urgent tasks declare 11 cores, long-running ones 6.4 on
 	// average.
 	maxStopsPerTask = 3
-	// unlimited is the allowance of a step without MaxMissing.
-	unlimited = math.MaxInt
+	// unboundedMissing is the allowance of a step without MaxMissing.
+	unboundedMissing = math.MaxInt
 )
 
 // roomView is what the decision to stop long-running tasks for urgent ones
@@ -224,7 +224,7 @@
 
 func (r *roomDecider) stop(s roomStop) {
 	c := r.candidate(s)
-	if r.view.allowances[c.group] != unlimited {
+	if r.view.allowances[c.group] != unboundedMissing {
 		r.view.allowances[c.group]--
 	}
 	r.view.budget--
@@ -245,7 +245,7 @@
 	for len(r.stops) > 0 && r.stops[len(r.stops)-1].step == step {
 		s := r.stops[len(r.stops)-1]
 		c := r.candidate(s)
-		if r.view.allowances[c.group] != unlimited {
+		if r.view.allowances[c.group] != unboundedMissing {
 			r.view.allowances[c.group]++
 		}
 		r.view.budget++
--- a/dispatcher/room_test.go
+++ b/dispatcher/room_test.go
@@ -17,7 +17,7 @@
 
 // randomView returns a view of a few workers.
 func randomView(r *rand.Rand, steps int) roomView {
-	v := roomView{budget: r.Intn(6), allowances: []int{r.Intn(3), r.Intn(3), unlimited}}
+	v := roomView{budget: r.Intn(6), allowances: []int{r.Intn(3), r.Intn(3), unboundedMissing}}
 	for range 1 + r.Intn(4) {
 		w := roomWorker{free: cores(r.Float64() * 5)}
 		if r.Intn(2) == 0 {
--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -96,20 +96,23 @@
 	if d.config.KeepLongRunning || !slices.ContainsFunc(reserved, func(c candidate) bool { return c.step.spec().LongRunning }) {
 		return
 	}
-	rank := func(c candidate) int {
-		switch {
-		case !d.urgent(c.step) || c.usefulTime() < 0:
-			return 2
-		case c.slack < 0:
-			return 1
-		}
-		return 0
-	}
 	slices.SortStableFunc(reserved, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.step.job.workflow.Priority, b.step.job.workflow.Priority), cmp.Compare(rank(a), rank(b)))
+		return cmp.Or(cmp.Compare(a.step.job.workflow.Priority, b.step.job.workflow.Priority), cmp.Compare(d.urgencyRank(a), d.urgencyRank(b)))
 	})
 }
 
+// urgencyRank orders the candidates of a priority: urgent ones that can be in time,
+// those that are late and still have value, and all others.
+func (d *Dispatcher) urgencyRank(c candidate) int {
+	switch {
+	case !d.urgent(c.step) || c.usefulTime() < 0:
+		return 2
+	case c.slack < 0:
+		return 1
+	}
+	return 0
+}
+
 // heldBack reports whether a long-running task waits although there may be room,
 // so that it isn't stopped again by the next urgent step. One that came from another
 // data centre has waited there: tasks that were held back anew in each data centre were
@@ -145,7 +148,7 @@
 	}
 	var waiting []candidate
 	for _, c := range reserved {
-		if len(waiting) < maxRoomSteps && c.step.waiting > 0 && d.urgent(c.step) && d.startable(c.step) > 0 {
+		if len(waiting) < maxRoomSteps && c.step.waiting > 0 && d.urgent(c.step) && d.startable(c.step) > 0 && d.quotaAllows(c.step) {
 			waiting = append(waiting, c)
 		}
 	}
@@ -266,7 +269,7 @@
 					away++
 				}
 			}
-			allowance := unlimited
+			allowance := unboundedMissing
 			if most := s.spec().MaxMissing; most > 0 {
 				allowance = max(0, most-missing)
 			}
--- a/steward/quota.go
+++ b/steward/quota.go
@@ -42,6 +42,7 @@
 	version    uint64      // Of the directory that is passed on.
 	revision   uint64      // Of the registry's quotas that are passed on.
 	dirty      bool        // Something else to pass on has changed.
+	passed     bool        // The dispatcher knows the organisations of some directory.
 	known      map[string]dispatcher.Organisation
 	removed    map[string]bool // Organisations in known that are no longer in the directory.
 	limited    []string        // Names in known that have a limit, sorted.
@@ -136,7 +137,9 @@
 func (ow *ownership) passOrganisations(now time.Duration, r *registrar.Registry) {
 	b := &ow.quota
 	directory, ok := ow.config.Catalogue.Directory()
-	if !ok || len(directory.Organisations) == 0 && len(b.known) == 0 && !b.dirty {
+	// A directory without organisations is passed on once: until then the dispatcher
+	// starts no work of organisations, as their limits are not known.
+	if !ok || len(directory.Organisations) == 0 && len(b.known) == 0 && !b.dirty && b.passed {
 		return
 	}
 	changed := directory.Version != b.version || len(b.known) == 0
@@ -147,7 +150,7 @@
 		b.setDirectory(directory)
 	}
 	ow.logReceived(r)
-	b.revision, b.dirty = r.QuotaRevision(), false
+	b.revision, b.dirty, b.passed = r.QuotaRevision(), false, true
 	list := make([]dispatcher.Organisation, 0, len(b.known))
 	for _, name := range slices.Sorted(maps.Keys(b.known)) {
 		o := b.known[name]
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -327,6 +327,13 @@
 	return c, ok
 }
 
+// OrganisationCounters returns the counters of the current dispatcher by organisation, of
+// at most 32 names, or false if this process is not the owner.
+func (o *Owner) OrganisationCounters() (counters map[string]dispatcher.OrganisationCounters, ok bool) {
+	ok = o.inspect(func(d *dispatcher.Dispatcher) { counters = d.OrganisationCounters() })
+	return counters, ok
+}
+
 // Runs returns the runs of a workflow that may be alive, or those of all
 // workflows if the ID is empty. It returns false if this process is not the
 // owner.
