limiter: bounds on connections and bytes of a host's clients

Cause: bodies, headers and unread responses of clients were held without a common bound, connections had none, and a job was decoded whole before the number of its steps was checked (a peak of 6,847 MiB for 100 MiB of bodies of empty steps).

Change: a new package decides in a core without I/O or clock who is admitted and who is shed, and counts connections, bytes of unfinished requests and unread responses. Bytes are reserved before they are read; where there is no room, the request with the least progress for its age is refused with 503 and Retry-After, or its connection is closed. Callers, readiness, metrics and operators have a door each, with parts of one budget that follows from limits.memoryMb and limits.fileDescriptors.

--- a/assembler/guard.go
+++ b/assembler/guard.go
@@ -134,6 +134,9 @@
 	return !c.active && c.arrived
 }
 
+// NetConn returns the connection that is guarded.
+func (c *guardedConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection, unless it waits for a request or has received one
 // that is not being served yet. The server closes it later in that case.
 func (c *guardedConn) Close() error {
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -50,6 +50,9 @@
 	CallersHandler func(*admitter.Admitter) http.Handler
 	ReadyHandler   func(a *admitter.Admitter, draining func() bool) http.Handler
 	Now            func() time.Duration
+	Clients        ClientLimits // The zero value sets no limits.
+
+	doors *doors // Nil for no limits.
 
 	Logger    hclog.Logger
 	LogWriter launcher.Part // Writes the log lines; nil for none.
@@ -90,7 +93,11 @@
 
 // NewHost returns the launcher of a host that runs workflows.
 func NewHost(c HostConfig) (*launcher.Launcher, error) {
+	c.doors = newDoors(c.Clients, c.Logger)
 	l, intake := NewHostCore(c)
+	if c.doors != nil {
+		l.Add("limiter", c.doors.limiter)
+	}
 	return l, addServers(l, c, intake)
 }
 
@@ -170,11 +177,11 @@
 // addServers adds the servers for callers and for the balancer's readiness
 // checks.
 func addServers(l *launcher.Launcher, c HostConfig, intake *admitter.Admitter) error {
-	jobs, err := newJobsPart(c.CallersAddr, c.CallersHandler(intake), c.Logger)
+	jobs, err := newJobsPart(c.CallersAddr, c.CallersHandler(intake), c.doors, c.Logger)
 	if err != nil {
 		return err
 	}
-	ready, err := newHTTPPart(c.ReadyAddr, c.ReadyHandler(intake, jobs.stopping.Load), c.Logger)
+	ready, err := newHTTPPart(c.ReadyAddr, c.ReadyHandler(intake, jobs.stopping.Load), c.doors.protect(readyDoor), c.Logger)
 	if err != nil {
 		return err
 	}
@@ -240,7 +247,7 @@
 	maxJobsHeaderBytes = 16 << 10
 )
 
-func newJobsPart(address string, h http.Handler, logger hclog.Logger) (*jobsPart, error) {
+func newJobsPart(address string, h http.Handler, d *doors, logger hclog.Logger) (*jobsPart, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -248,7 +255,9 @@
 	server := &http.Server{
 		Handler: h, ReadHeaderTimeout: jobsHeaderTimeout, IdleTimeout: jobsIdleTimeout, MaxHeaderBytes: maxJobsHeaderBytes,
 	}
-	return &jobsPart{server: server, guard: guardConnections(server, listener), logger: logger, done: make(chan struct{})}, nil
+	guard := guardConnections(server, listener)
+	guard.Listener = d.protect(callersDoor)(server, listener)
+	return &jobsPart{server: server, guard: guard, logger: logger, done: make(chan struct{})}, nil
 }
 
 // Done returns a channel that is closed when Run has ended.
--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -70,13 +70,16 @@
 	if c.MetricsAddr == "" {
 		return
 	}
-	m, err := monitor.New(monitor.Config{Address: c.MetricsAddr, Ready: intake.Ready, Logger: c.Logger})
+	m, err := monitor.New(monitor.Config{Address: c.MetricsAddr, Ready: intake.Ready, Protect: c.doors.protect(metricsDoor), Logger: c.Logger})
 	if err != nil {
 		c.Logger.Error("metrics are not served", "address", c.MetricsAddr, "error", err)
 		return
 	}
 	m.Publish("log-calls", expvar.Func(func() any { return calls.Snapshot() }))
 	m.Publish("requests", expvar.Func(func() any { return intake.Outcomes() }))
+	if c.doors != nil {
+		m.Publish("clients", expvar.Func(func() any { return c.doors.limiter.Snapshot() }))
+	}
 	m.Publish("stream-age-ms", expvar.Func(func() any {
 		ages := map[string]int64{}
 		for name, t := range streams {
--- a/assembler/host_operators.go
+++ b/assembler/host_operators.go
@@ -22,7 +22,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(briarspringv1connect.NewWorkflowsHandler(operator.NewWorkflowServer(intake, served)))
-	part, err := newHTTPPart(c.OperatorsAddr, mux, c.Logger)
+	part, err := newHTTPPart(c.OperatorsAddr, c.doors.buffered(operatorsDoor, mux), c.doors.protect(operatorsDoor), c.Logger)
 	if err != nil {
 		c.Logger.Error("operators' calls are not served", "address", c.OperatorsAddr, "error", err)
 		return
--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	operators, err := newHTTPPart(s.Scheduler.OperatorsAddress, operatorsHandler(engine), logger)
+	operators, err := newHTTPPart(s.Scheduler.OperatorsAddress, operatorsHandler(engine), nil, logger)
 	if err != nil {
 		return nil, err
 	}
@@ -159,13 +159,20 @@
 
 const headerTimeout = 5 * time.Second
 
-func newHTTPPart(address string, h http.Handler, logger hclog.Logger) (*httpPart, error) {
+// newHTTPPart returns a server at an address. protect limits its clients; nil sets no
+// limits.
+func newHTTPPart(address string, h http.Handler, protect protector, logger hclog.Logger) (*httpPart, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	if protect != nil {
+		server.MaxHeaderBytes = maxJobsHeaderBytes
+		listener = protect(server, listener)
+	}
 	return &httpPart{
-		listener: listener, server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout},
+		listener: listener, server: server,
 		logger: logger, done: make(chan struct{}),
 	}, nil
 }
--- a/cmd/briarspring/host.go
+++ b/cmd/briarspring/host.go
@@ -82,7 +82,7 @@
 		ReadyHandler: func(a *admitter.Admitter, draining func() bool) http.Handler {
 			return platform.NewReadinessHandler(a, draining)
 		},
-		Now: timekeeper.BootTime, Logger: logger, LogWriter: logs,
+		Clients: assembler.ClientLimits(s.Clients), Now: timekeeper.BootTime, Logger: logger, LogWriter: logs,
 	}
 }
 
--- /dev/null
+++ b/limiter/conn.go
@@ -0,0 +1,234 @@
+package limiter
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// headerFree is the part of a header that a connection's own bytes cover: the
+	// buffer of the server.
+	headerFree = 4 << 10
+	// writePieceBytes is written at a time, so that a client has to read that much
+	// within the stall time.
+	writePieceBytes = 16 << 10
+)
+
+// longAgo is a deadline that interrupts a read.
+var longAgo = time.Unix(1, 0)
+
+// Conn is a connection whose bytes are counted.
+type Conn struct {
+	net.Conn
+	door    *Door
+	holding *holding    // Guarded by limiter.mu.
+	shed    atomic.Bool // Reads fail from now on.
+}
+
+// Read reads from the connection. A header is reserved before it is read; bodies are
+// reserved by ReadBody.
+func (c *Conn) Read(b []byte) (int, error) {
+	if c.shed.Load() {
+		return 0, net.ErrClosed
+	}
+	reserved, err := c.reserveHeader(len(b))
+	if err != nil {
+		refuse(c.Conn)
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	c.arrived(n, reserved)
+	if c.shed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// reserveHeader reserves n bytes if the connection is receiving a header that
+// exceeds what is free. It returns how many it has reserved.
+func (c *Conn) reserveHeader(n int) (int64, error) {
+	l := c.door.limiter
+	l.mu.Lock()
+	needed := c.holding.phase == phaseHeader && c.holding.received+int64(n) > headerFree
+	l.mu.Unlock()
+	if !needed {
+		return 0, nil
+	}
+	return int64(n), c.reserve(int64(n))
+}
+
+// arrived counts n bytes and returns what was reserved beyond them.
+func (c *Conn) arrived(n int, reserved int64) {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := c.holding
+	if unused := reserved - int64(n); reserved > 0 && unused > 0 {
+		c.door.pool.release(h, unused)
+	}
+	if n == 0 {
+		return
+	}
+	now := l.config.Now()
+	if h.phase == phaseNew || h.phase == phaseIdle {
+		h.phase, h.since = phaseHeader, now
+	}
+	h.received += int64(n)
+	h.progress = now
+}
+
+// Write writes to the connection. It fails if the client reads nothing for the stall
+// time.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.beginWrite(len(b))
+	defer c.endWrite(len(b))
+	written := 0
+	for {
+		piece := b[written:min(len(b), written+writePieceBytes)]
+		_ = c.SetWriteDeadline(time.Now().Add(c.door.limiter.config.Stall)) // The write fails as well.
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+		c.progress()
+	}
+}
+
+func (c *Conn) beginWrite(n int) {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Now()
+	c.holding.writing, c.holding.progress = true, now
+	c.door.evict(c.door.pool.charge(c.holding, int64(n), now), "room for a response", now)
+}
+
+func (c *Conn) endWrite(n int) {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.holding.writing = false
+	c.door.pool.release(c.holding, int64(n))
+	l.notifyFreed()
+}
+
+// progress notes that the client has read a piece.
+func (c *Conn) progress() {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.holding.progress = l.config.Now()
+}
+
+// Close closes the connection and releases all that it holds.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.door.pool.disconnect(c.holding)
+	delete(c.door.conns, c.holding)
+	l.notifyFreed()
+	return err
+}
+
+// interrupt ends a connection that was shed. Where a handler is reading a body, it
+// ends the read, so that the handler refuses the request, unless it is to be abrupt.
+// The limiter is locked.
+func (c *Conn) interrupt(at phase, abrupt bool) {
+	c.shed.Store(true)
+	switch {
+	case at == phaseBody && !abrupt:
+		_ = c.SetReadDeadline(longAgo) // The connection is closed when this fails.
+	case at == phaseNew || at == phaseHeader:
+		// The refusal fits into the buffer of the connection. It is written elsewhere, as
+		// the limiter is locked.
+		go refuse(c.Conn)
+	default:
+		c.Conn.Close()
+	}
+}
+
+// setPhase records what the connection does. Where the request has been carried out,
+// the bytes of its body are no longer held.
+func (c *Conn) setPhase(p phase) {
+	if c == nil {
+		return
+	}
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.holding.phase = p
+	if p == phaseDraining {
+		c.holding.since, c.holding.progress = l.config.Now(), l.config.Now()
+		c.releaseAll()
+	}
+}
+
+// endRequest records that the connection waits for the next request.
+func (c *Conn) endRequest() {
+	if c == nil {
+		return
+	}
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := c.holding
+	h.phase, h.received, h.since = phaseIdle, 0, l.config.Now()
+	c.releaseAll()
+}
+
+// releaseAll releases the bytes of the request. The limiter is locked.
+func (c *Conn) releaseAll() {
+	if c.holding.bytes > 0 {
+		c.door.pool.release(c.holding, c.holding.bytes)
+		c.door.limiter.notifyFreed()
+	}
+}
+
+// reserve reserves n bytes for the request. It waits for the bytes of requests that
+// were shed for it. The error is a *RefusedError.
+func (c *Conn) reserve(n int64) error {
+	l := c.door.limiter
+	timeout := time.NewTimer(releaseWait)
+	defer timeout.Stop()
+	for {
+		answer, freed := c.tryReserve(n)
+		switch answer {
+		case granted:
+			return nil
+		case denied:
+			return c.refuse("no room for its bytes")
+		}
+		select {
+		case <-freed:
+		case <-timeout.C:
+			l.mu.Lock()
+			l.record("refused-request", c.door, "client", c.RemoteAddr().String(), "bytes", n, "reason", "no room in time")
+			l.mu.Unlock()
+			return c.refuse("no room for its bytes in time")
+		}
+	}
+}
+
+// tryReserve asks the pool once. The channel is closed when bytes are released.
+func (c *Conn) tryReserve(n int64) (verdict, <-chan struct{}) {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Now()
+	answer, victims := c.door.pool.reserve(c.holding, n, now)
+	c.door.evict(victims, "room for a request", now)
+	if answer == denied && !c.holding.shed {
+		l.record("refused-request", c.door, "client", c.RemoteAddr().String(), "bytes", n, "reason", "no room")
+	}
+	return answer, l.freed
+}
+
+// refuse returns the error of a refused request. Its time to wait differs between
+// clients, so that they don't come back together.
+func (c *Conn) refuse(reason string) error {
+	return &RefusedError{Reason: reason, RetryAfter: retryAfter()}
+}
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -21,6 +21,8 @@
 	Address string                       // "IP:port".
 	Ready   func() (ok bool, why string) // Reports whether the process can do its work.
 	Status  http.Handler                 // Serves the status page; nil for none.
+	// Protect limits the clients of the server; nil for no limits.
+	Protect func(*http.Server, net.Listener) net.Listener
 	Logger  hclog.Logger
 }
 
@@ -37,7 +39,12 @@
 	once     sync.Once
 }
 
-const readTimeout = 5 * time.Second
+const (
+	readTimeout = 5 * time.Second
+	idleTimeout = time.Minute // Scrapers connect again.
+	// maxHeaderBytes is that of callers; scrapers and balancers send less.
+	maxHeaderBytes = 16 << 10
+)
 
 // New returns a Monitor that listens at the configured address.
 func New(c Config) (*Monitor, error) {
@@ -58,7 +65,10 @@
 	if c.Status != nil {
 		m.mux.Handle("GET /{$}", c.Status)
 	}
-	m.server = &http.Server{Handler: m.mux, ReadHeaderTimeout: readTimeout}
+	m.server = &http.Server{Handler: m.mux, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	if c.Protect != nil {
+		m.listener = c.Protect(m.server, listener)
+	}
 	return m, nil
 }
 
