forwarder, assembler: limits for the gateway's callers and admin port

Cause: the gateway counted a body only after it had been read, and a full set of connections made new callers wait.

The admin port has limits of its own.

--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/net/netutil"
 
 	"briarspring"
 	"briarspring/encoder"
@@ -30,19 +29,22 @@
 		return nil, err
 	}
 	f := forwarder.New(forwarderConfig(s, logger))
+	d := newGatewayDoors(s.Gateway, logger)
 	admin, err := monitor.New(monitor.Config{
-		Address: s.Gateway.AdminAddress, Ready: gatewayReadiness(f), Logger: logger,
+		Address: s.Gateway.AdminAddress, Ready: gatewayReadiness(f), Protect: d.admin, Logger: logger,
 	})
 	if err != nil {
 		return nil, err
 	}
 	publishGateway(admin, f)
-	callers, err := newCallersPart(s.Gateway, f, admin, logger)
+	admin.Publish("clients", expvar.Func(func() any { return d.limiter.Snapshot() }))
+	callers, err := newCallersPart(s.Gateway, f, admin, d.callers, logger)
 	if err != nil {
 		return nil, err
 	}
 	l := launcher.New(logger, s.Process.StopTime)
 	l.Add("settings", s)
+	l.Add("limiter", d.limiter)
 	l.Add("monitor", admin)
 	l.Add("forwarder", f)
 	l.Add("feed", &feedPart{
@@ -60,7 +62,7 @@
 			QueueLength: s.Gateway.QueueLength, Seed: uint64(s.Gateway.Seat) + 1,
 		},
 		DefaultTimeout: s.Gateway.DefaultTimeout, MaxTimeout: s.Gateway.MaxTimeout,
-		MaxBody: s.Gateway.MaxBody, MaxBuffered: s.Gateway.MaxBuffered,
+		MaxBody:    s.Gateway.MaxBody,
 		RetryShare: s.Gateway.RetryShare, CallerRate: s.Gateway.CallerRate, Logger: logger,
 	}
 	for _, e := range s.Gateway.Elsewhere {
@@ -97,7 +99,7 @@
 
 const callerIdleTimeout = time.Minute
 
-func newCallersPart(g loader.Gateway, f *forwarder.Forwarder, admin *monitor.Monitor, logger hclog.Logger) (*callersPart, error) {
+func newCallersPart(g loader.Gateway, f *forwarder.Forwarder, admin *monitor.Monitor, protect protector, logger hclog.Logger) (*callersPart, error) {
 	listener, err := net.Listen("tcp", g.Address)
 	if err != nil {
 		return nil, err
@@ -106,8 +108,10 @@
 		Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: int(g.MaxHeader),
 	}
+	guard := guardConnections(server, listener)
+	guard.Listener = protect(server, listener)
 	return &callersPart{
-		server: server, guard: guardConnections(server, netutil.LimitListener(listener, int(g.MaxConnections))),
+		server: server, guard: guard,
 		forwarder: f, admin: admin, logger: logger, notice: g.NoticeTime, done: make(chan struct{}),
 	}, nil
 }
--- a/cmd/briarload/route.go
+++ b/cmd/briarload/route.go
@@ -106,7 +106,7 @@
 	for index, rule := range routeRules {
 		f := forwarder.New(forwarder.Config{
 			Router:         router.Config{Rule: rule, GatewayIndex: index, GatewayCount: len(routeRules), QueueLength: 256, Seed: 1},
-			DefaultTimeout: routeTimeout, MaxTimeout: routeTimeout, MaxBody: 1 << 20, MaxBuffered: 64 << 20, RetryShare: 0.1,
+			DefaultTimeout: routeTimeout, MaxTimeout: routeTimeout, MaxBody: 1 << 20, RetryShare: 0.1,
 		})
 		f.Apply(update)
 		rig.gateways = append(rig.gateways, httptest.NewServer(f))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -16,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"briarspring"
+	"briarspring/limiter"
 	"briarspring/router"
 )
 
@@ -25,7 +25,6 @@
 	DefaultTimeout time.Duration
 	MaxTimeout     time.Duration
 	MaxBody        int64   // Bytes of a request body.
-	MaxBuffered    int64   // Bytes of all request bodies held in memory.
 	RetryShare     float64 // Retries allowed per new request.
 	CallerRate     float64 // Requests per second from one caller's address; zero for no limit.
 	RemoteGateways []RemoteGateway
@@ -51,7 +50,6 @@
 	logger          hclog.Logger
 	transport       *http.Transport
 	remoteTransport *http.Transport
-	buffered        atomic.Int64
 	draining        atomic.Bool
 	counts          counts
 
@@ -136,7 +134,6 @@
 		f.refuse(rw, q, *refused)
 		return
 	}
-	defer f.buffered.Add(-int64(len(body)))
 	q.body = body
 	f.serve(ctx, rw, r, q)
 }
@@ -235,15 +232,9 @@
 		f.logger.Debug("can't set read deadline", "error", err)
 	}
 	defer http.NewResponseController(rw).SetReadDeadline(time.Time{}) //nolint:errcheck // The error was logged above.
-	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, f.config.MaxBody))
+	body, err := limiter.ReadBody(rw, r, f.config.MaxBody)
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
-	if f.buffered.Add(int64(len(body))) > f.config.MaxBuffered {
-		f.buffered.Add(-int64(len(body)))
-		return nil, &refusal{
-			status: http.StatusServiceUnavailable, reason: "too many bodies are held", retryAfter: time.Second,
-		}
-	}
 	return body, nil
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -86,7 +86,7 @@
 	c := forwarder.Config{
 		Router:         router.Config{QueueLength: 4, GatewayCount: 1},
 		DefaultTimeout: time.Second, MaxTimeout: 5 * time.Second,
-		MaxBody: 1 << 20, MaxBuffered: 16 << 20, RetryShare: 0.5,
+		MaxBody: 1 << 20, RetryShare: 0.5,
 	}
 	if change != nil {
 		change(&c)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"briarspring"
+	"briarspring/limiter"
 	"briarspring/router"
 )
 
@@ -23,6 +24,10 @@
 	if errors.As(err, &large) {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
 	}
+	var refused *limiter.RefusedError
+	if errors.As(err, &refused) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: refused.Reason, retryAfter: refused.RetryAfter}
+	}
 	return &refusal{status: http.StatusBadRequest, reason: "body did not arrive whole in time"}
 }
 
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -34,7 +34,7 @@
 	}
 	reserved, err := c.reserveHeader(len(b))
 	if err != nil {
-		refuse(c.Conn)
+		c.door.refuse(c.Conn)
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
@@ -145,7 +145,7 @@
 	case at == phaseNew || at == phaseHeader:
 		// The refusal fits into the buffer of the connection. It is written elsewhere, as
 		// the limiter is locked.
-		go refuse(c.Conn)
+		go c.door.refuse(c.Conn)
 	default:
 		c.Conn.Close()
 	}
--- a/limiter/door.go
+++ b/limiter/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -96,7 +97,7 @@
 		if conn := l.door.admit(c); conn != nil {
 			return conn, nil
 		}
-		refuse(c)
+		l.door.refuse(c)
 	}
 }
 
@@ -119,15 +120,19 @@
 
 const (
 	// refusal is sent on connections whose request is not read.
-	refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\nContent-Length: 0\r\nConnection: close\r\n%s\r\n"
 	// refusalTime bounds the write of a refusal, which fits into the buffer of a
 	// connection on which nothing was sent.
 	refusalTime = 10 * time.Millisecond
 )
 
 // refuse closes a connection on which no response is being written.
-func refuse(c net.Conn) {
+func (d *Door) refuse(c net.Conn) {
+	further := d.config.RefusalHeader
+	if further != "" {
+		further += "\r\n"
+	}
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTime))
-	_, _ = c.Write([]byte(refusal)) // The client may have disconnected.
+	_, _ = fmt.Fprintf(c, refusal, int(retryAfter()/time.Second), further) // The client may have disconnected.
 	c.Close()
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -35,7 +35,8 @@
 	Name            string
 	Bytes           int64 // For connections, unfinished requests and unread responses together.
 	Connections     int
-	ConnectionBytes int64 // Reserved for each connection.
+	ConnectionBytes int64  // Reserved for each connection.
+	RefusalHeader   string // Further header line of refusals that are sent before a request is read; empty for none.
 }
 
 // Limiter limits the clients of a process. Each address that clients connect to is
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -79,6 +79,7 @@
 	MaxBuffered    int64
 	MaxHeader      int64
 	MaxConnections int64
+	StallTime      time.Duration
 	QueueLength    int
 	RetryShare     float64
 	CallerRate     float64
