limiter: reservations wait in order, and a shed request never runs

Cause: every release woke every waiting request, and each searched all connections for victims again. A request that was shed while its header was parsed could run after its client had been told that it had not.

Change: a reservation is a claim in a queue, granted in order when bytes are released; claims count when room is sought. The handler of a shed request is not called, and a shed body is refused even if it was complete.

--- a/limiter/body.go
+++ b/limiter/body.go
@@ -40,10 +40,9 @@
 		return io.ReadAll(reader)
 	}
 	c.setPhase(phaseBody)
-	defer c.setPhase(phaseServing)
 	body, err := c.readBody(reader, req.ContentLength, limit)
 	var large *http.MaxBytesError
-	if err != nil && !errors.As(err, &large) && c.shed.Load() {
+	if !c.setPhase(phaseServing) && !errors.As(err, &large) {
 		err = c.refuse("it made too little progress")
 	}
 	if err != nil {
@@ -94,17 +93,16 @@
 		return nil, err
 	}
 	grown := append(make([]byte, 0, size), body...)
-	c.Release(old)
+	c.release(old)
 	return grown, nil
 }
 
-// Release returns n reserved bytes before the request has been carried out.
-func (c *Conn) Release(n int64) {
+// release returns n reserved bytes before the request has been carried out.
+func (c *Conn) release(n int64) {
 	l := c.door.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.door.pool.release(c.holding, n)
-	l.notifyFreed()
 }
 
 // Reserve reserves n bytes for what is made of a request, until the request has been
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -111,7 +111,6 @@
 	defer l.mu.Unlock()
 	c.holding.writing = false
 	c.door.pool.release(c.holding, int64(n))
-	l.notifyFreed()
 }
 
 // progress notes that the client has read a piece.
@@ -130,7 +129,6 @@
 	defer l.mu.Unlock()
 	c.door.pool.disconnect(c.holding)
 	delete(c.door.conns, c.holding)
-	l.notifyFreed()
 	return err
 }
 
@@ -152,10 +150,11 @@
 }
 
 // setPhase records what the connection does. Where the request has been carried out,
-// the bytes of its body are no longer held.
-func (c *Conn) setPhase(p phase) {
+// the bytes of its body are no longer held. It returns false if the connection was
+// shed; a connection that serves a request is not, until it writes.
+func (c *Conn) setPhase(p phase) bool {
 	if c == nil {
-		return
+		return true
 	}
 	l := c.door.limiter
 	l.mu.Lock()
@@ -165,6 +164,7 @@
 		c.holding.since, c.holding.progress = l.config.Now(), l.config.Now()
 		c.releaseAll()
 	}
+	return !c.holding.shed
 }
 
 // endRequest records that the connection waits for the next request.
@@ -182,49 +182,53 @@
 
 // releaseAll releases the bytes of the request. The limiter is locked.
 func (c *Conn) releaseAll() {
-	if c.holding.bytes > 0 {
-		c.door.pool.release(c.holding, c.holding.bytes)
-		c.door.limiter.notifyFreed()
-	}
+	c.door.pool.release(c.holding, c.holding.bytes)
 }
 
 // reserve reserves n bytes for the request. It waits for the bytes of requests that
 // were shed for it. The error is a *RefusedError.
 func (c *Conn) reserve(n int64) error {
-	l := c.door.limiter
+	claim := c.claim(n)
+	if claim == nil {
+		return c.refuse("no room for its bytes")
+	}
 	timeout := time.NewTimer(releaseWait)
 	defer timeout.Stop()
-	for {
-		answer, freed := c.tryReserve(n)
-		switch answer {
-		case granted:
-			return nil
-		case denied:
-			return c.refuse("no room for its bytes")
-		}
-		select {
-		case <-freed:
-		case <-timeout.C:
-			l.mu.Lock()
-			l.record("refused-request", c.door, "client", c.RemoteAddr().String(), "bytes", n, "reason", "no room in time")
-			l.mu.Unlock()
-			return c.refuse("no room for its bytes in time")
-		}
+	select {
+	case <-claim.done:
+	case <-timeout.C:
 	}
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if claim.granted {
+		return nil
+	}
+	c.door.pool.withdraw(claim)
+	c.recordRefusal(n, "no room in time")
+	return c.refuse("no room for its bytes in time")
 }
 
-// tryReserve asks the pool once. The channel is closed when bytes are released.
-func (c *Conn) tryReserve(n int64) (verdict, <-chan struct{}) {
+// claim asks the pool for n bytes; nil if there is no room.
+func (c *Conn) claim(n int64) *claim {
 	l := c.door.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Now()
-	answer, victims := c.door.pool.reserve(c.holding, n, now)
+	claim, victims := c.door.pool.reserve(c.holding, n, now)
 	c.door.evict(victims, "room for a request", now)
-	if answer == denied && !c.holding.shed {
-		l.record("refused-request", c.door, "client", c.RemoteAddr().String(), "bytes", n, "reason", "no room")
+	if claim == nil {
+		c.recordRefusal(n, "no room")
+	}
+	return claim
+}
+
+// recordRefusal counts a refused request, unless it is counted as shed. The limiter
+// is locked.
+func (c *Conn) recordRefusal(n int64, reason string) {
+	if !c.holding.shed {
+		c.door.limiter.record("refused-request", c.door, "client", c.RemoteAddr().String(), "bytes", n, "reason", reason)
 	}
-	return answer, l.freed
 }
 
 // refuse returns the error of a refused request. Its time to wait differs between
--- a/limiter/door.go
+++ b/limiter/door.go
@@ -60,7 +60,10 @@
 func (d *Door) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
 		c, _ := req.Context().Value(connKey{}).(*Conn)
-		c.setPhase(phaseServing)
+		if !c.setPhase(phaseServing) {
+			// Shed while its header was being parsed: it was told that it has not run.
+			panic(http.ErrAbortHandler)
+		}
 		defer c.setPhase(phaseDraining)
 		next.ServeHTTP(rw, req)
 	})
--- a/limiter/door_test.go
+++ b/limiter/door_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -153,3 +155,25 @@
 	resp.Body.Close()
 	assert.Equal(t, http.StatusBadRequest, resp.StatusCode)
 }
+
+// Guards against carrying out a request whose client was told that it has not run.
+func TestShedRequestDoesNotRun(t *testing.T) {
+	limits := New(Config{Grace: time.Second, Stall: time.Second, Request: time.Second})
+	door := limits.NewDoor(DoorConfig{Name: "test", Bytes: 100 * kB, Connections: 4, ConnectionBytes: kB})
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := door.admit(near)
+	defer conn.Close()
+	limits.mu.Lock()
+	door.pool.mark(conn.holding)
+	limits.mu.Unlock()
+	ran := false
+	h := door.handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran = true }))
+	req := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("a"))
+	req = req.WithContext(context.WithValue(req.Context(), connKey{}, conn))
+	assert.PanicsWithValue(t, http.ErrAbortHandler, func() { h.ServeHTTP(httptest.NewRecorder(), req) })
+	assert.False(t, ran)
+	_, err := ReadBody(httptest.NewRecorder(), req, kB)
+	var refused *RefusedError
+	assert.ErrorAs(t, err, &refused, "its body is complete")
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -49,8 +49,7 @@
 	mu       sync.Mutex
 	doors    []*Door
 	counts   map[string]uint64
-	withheld int           // Log lines since the last one.
-	freed    chan struct{} // Closed when bytes were released.
+	withheld int // Log lines since the last one.
 }
 
 // New returns a Limiter without doors.
@@ -64,7 +63,7 @@
 	}
 	return &Limiter{
 		config: c, lines: rate.NewLimiter(logRate, logBurst), done: make(chan struct{}),
-		counts: map[string]uint64{}, freed: make(chan struct{}),
+		counts: map[string]uint64{},
 	}
 }
 
@@ -122,12 +121,6 @@
 	return list
 }
 
-// notifyFreed wakes the requests that wait for bytes.
-func (l *Limiter) notifyFreed() {
-	close(l.freed)
-	l.freed = make(chan struct{})
-}
-
 // record counts an event and logs it, within the rate of log lines.
 func (l *Limiter) record(event string, d *Door, args ...any) {
 	l.counts[d.config.Name+"/"+event]++
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -31,6 +32,7 @@
 // holding is what one connection holds of a pool.
 type holding struct {
 	number   uint64 // In the order of admission.
+	index    int    // In the pool's list; negative when disconnected.
 	phase    phase
 	since    time.Duration // Start of the request, or of the phase between requests.
 	progress time.Duration // Last time at which bytes arrived, or a write began.
@@ -51,14 +53,24 @@
 // pool decides who is admitted and who is shed. It has no clock and does no I/O.
 type pool struct {
 	config   poolConfig
-	holdings map[*holding]bool
+	holdings []*holding // In no order.
 	admitted uint64
-	bytes    int64 // Reserved in total.
-	leaving  int64 // Part of bytes that shed holdings have not released yet.
-	shedding int   // Shed holdings that are still connected.
+	bytes    int64    // Reserved in total.
+	leaving  int64    // Part of bytes that shed holdings have not released yet.
+	shedding int      // Shed holdings that are still connected.
+	claims   []*claim // Reservations that wait for leaving, oldest first.
+	claimed  int64    // Bytes of claims.
 }
 
-func newPool(c poolConfig) *pool { return &pool{config: c, holdings: map[*holding]bool{}} }
+// claim is a reservation that waits for bytes of holdings that were shed.
+type claim struct {
+	holding *holding
+	bytes   int64
+	granted bool
+	done    chan struct{} // Closed when the claim is granted or can't be any more.
+}
+
+func newPool(c poolConfig) *pool { return &pool{config: c} }
 
 // connect admits a connection, or returns nil. The caller must end the victims in both
 // cases.
@@ -78,50 +90,78 @@
 		return nil, victims
 	}
 	p.admitted++
-	h := &holding{number: p.admitted, since: now, progress: now}
-	p.holdings[h] = true
+	h := &holding{number: p.admitted, index: len(p.holdings), since: now, progress: now}
+	p.holdings = append(p.holdings, h)
 	p.bytes += p.config.connectionBytes
 	return h, victims
 }
 
 // disconnect releases all that a connection holds.
 func (p *pool) disconnect(h *holding) {
-	if !p.holdings[h] {
+	if h.index < 0 {
 		return
 	}
-	p.release(h, h.bytes)
-	p.bytes -= p.config.connectionBytes
+	p.dropClaims(func(c *claim) bool { return c.holding == h })
+	p.bytes -= h.bytes + p.config.connectionBytes
 	if h.shed {
-		p.leaving -= p.config.connectionBytes
+		p.leaving -= h.bytes + p.config.connectionBytes
 		p.shedding--
 	}
-	delete(p.holdings, h)
+	h.bytes = 0
+	last := p.holdings[len(p.holdings)-1]
+	p.holdings[h.index], last.index = last, h.index
+	p.holdings = p.holdings[:len(p.holdings)-1]
+	h.index = -1
+	p.grantClaims()
 }
 
-// verdict is the answer to a reservation.
-type verdict int
-
-const (
-	granted verdict = iota
-	pending         // There is room as soon as the victims have released theirs.
-	denied
-)
-
-// reserve reserves bytes for a request before they are read.
-func (p *pool) reserve(h *holding, n int64, now time.Duration) (verdict, []*holding) {
-	if h.shed {
-		return denied, nil
+// reserve reserves bytes for a request before they are read. A claim that is not
+// granted yet will be when the victims have released theirs. It returns nil if there
+// is no room.
+func (p *pool) reserve(h *holding, n int64, now time.Duration) (*claim, []*holding) {
+	if h.shed || h.index < 0 {
+		return nil, nil
 	}
 	victims, ok := p.makeRoom(n, now, h)
-	switch {
-	case !ok:
-		return denied, victims
-	case p.bytes+n > p.config.bytes:
-		return pending, victims
+	if !ok {
+		return nil, victims
 	}
-	p.bytes += n
-	h.bytes += n
-	return granted, victims
+	c := &claim{holding: h, bytes: n, done: make(chan struct{})}
+	p.claims = append(p.claims, c)
+	p.claimed += n
+	p.grantClaims()
+	return c, victims
+}
+
+// grantClaims grants the oldest claims that fit.
+func (p *pool) grantClaims() {
+	for len(p.claims) > 0 && p.bytes+p.claims[0].bytes <= p.config.bytes {
+		c := p.claims[0]
+		p.claims = p.claims[1:]
+		p.claimed -= c.bytes
+		p.bytes += c.bytes
+		c.holding.bytes += c.bytes
+		c.granted = true
+		close(c.done)
+	}
+}
+
+// dropClaims ends claims that can't be granted any more.
+func (p *pool) dropClaims(which func(*claim) bool) {
+	p.claims = slices.DeleteFunc(p.claims, func(c *claim) bool {
+		if !which(c) {
+			return false
+		}
+		p.claimed -= c.bytes
+		close(c.done)
+		return true
+	})
+	p.grantClaims() // Those behind may fit.
+}
+
+// withdraw ends a claim that was not granted in time.
+func (p *pool) withdraw(c *claim) {
+	p.dropClaims(func(other *claim) bool { return other == c })
 }
 
 // charge adds bytes that exist already, such as those of a response, and sheds
@@ -144,22 +184,23 @@
 	if h.shed {
 		p.leaving -= n
 	}
+	p.grantClaims()
 }
 
 // makeRoom sheds holdings until n bytes are free or will be when the victims have
 // released theirs. It sheds none if that can't be reached.
 func (p *pool) makeRoom(n int64, now time.Duration, requester *holding) ([]*holding, bool) {
-	fits := func() bool { return p.bytes-p.leaving+n <= p.config.bytes }
+	fits := func() bool { return p.bytes-p.leaving+p.claimed+n <= p.config.bytes }
 	if fits() {
 		return nil, true
 	}
 	var available int64
-	for h := range p.holdings {
+	for _, h := range p.holdings {
 		if h != requester && sheddable(h, now, p.config.grace) {
 			available += h.bytes + p.config.connectionBytes
 		}
 	}
-	if p.bytes-p.leaving-available+n > p.config.bytes {
+	if p.bytes-p.leaving-available+p.claimed+n > p.config.bytes {
 		return nil, false
 	}
 	return p.shed(now, requester, fits), true
@@ -171,7 +212,7 @@
 	var victims []*holding
 	for !enough() {
 		var first *holding
-		for h := range p.holdings {
+		for _, h := range p.holdings {
 			if h != requester && sheddable(h, now, p.config.grace) && (first == nil || p.compare(h, first, now) < 0) {
 				first = h
 			}
@@ -189,6 +230,7 @@
 	h.shed = true
 	p.leaving += h.bytes + p.config.connectionBytes
 	p.shedding++
+	p.dropClaims(func(c *claim) bool { return c.holding == h })
 }
 
 // sheddable reports whether a holding may be shed. A request that is being carried
@@ -243,7 +285,7 @@
 // the whole request did not arrive within the request time.
 func (p *pool) expired(now, stall, request time.Duration) []*holding {
 	var victims []*holding
-	for h := range p.holdings {
+	for _, h := range p.holdings {
 		receives := h.phase == phaseBody || h.phase == phaseDraining
 		if !h.shed && receives && (now-h.progress > stall || now-h.since > request) {
 			p.mark(h)
--- a/limiter/pool_test.go
+++ b/limiter/pool_test.go
@@ -29,8 +29,9 @@
 	h, _ := p.connect(p.now)
 	require.NotNil(t, h)
 	h.phase = phaseBody
-	answer, _ := p.reserve(h, reserved, p.now)
-	require.Equal(t, granted, answer)
+	c, _ := p.reserve(h, reserved, p.now)
+	require.NotNil(t, c)
+	require.True(t, c.granted)
 	h.received = received
 	return h
 }
@@ -118,15 +119,20 @@
 		stopped := p.request(t, 256*kB, 256*kB-1)
 		p.now = 2 * time.Second
 		h, _ := p.connect(p.now)
-		answer, victims := p.reserve(h, 100*kB, p.now)
-		assert.Equal(t, pending, answer)
+		first, victims := p.reserve(h, 100*kB, p.now)
+		require.NotNil(t, first)
 		assert.Equal(t, []*holding{stopped}, victims)
-		answer, victims = p.reserve(h, 100*kB, p.now)
-		assert.Equal(t, pending, answer)
+		second, victims := p.reserve(h, 150*kB, p.now)
+		require.NotNil(t, second)
 		assert.Empty(t, victims, "no one else is shed meanwhile")
-		p.release(stopped, 256*kB)
-		answer, _ = p.reserve(h, 100*kB, p.now)
-		assert.Equal(t, granted, answer)
+		third, _ := p.reserve(h, 150*kB, p.now)
+		assert.Nil(t, third, "what waits counts")
+		assert.False(t, first.granted || second.granted)
+		p.release(stopped, 100*kB)
+		assert.True(t, first.granted)
+		assert.False(t, second.granted)
+		p.disconnect(stopped)
+		assert.True(t, second.granted)
 	})
 	t.Run("what can't fit sheds nobody", func(t *testing.T) {
 		p := newPoolTest(300*kB, 10)
@@ -134,16 +140,32 @@
 		p.request(t, 190*kB, 190*kB).phase = phaseServing
 		p.now = time.Hour
 		h, _ := p.connect(p.now)
-		answer, victims := p.reserve(h, 200*kB, p.now)
-		assert.Equal(t, denied, answer)
+		c, victims := p.reserve(h, 200*kB, p.now)
+		assert.Nil(t, c)
 		assert.Empty(t, victims)
 	})
 	t.Run("a request that was shed gets no more", func(t *testing.T) {
 		p := newPoolTest(300*kB, 10)
 		h := p.request(t, kB, 0)
 		p.mark(h)
-		answer, _ := p.reserve(h, kB, p.now)
-		assert.Equal(t, denied, answer)
+		c, _ := p.reserve(h, kB, p.now)
+		assert.Nil(t, c)
+	})
+	t.Run("a claim ends with its request", func(t *testing.T) {
+		p := newPoolTest(300*kB, 10)
+		p.request(t, 256*kB, 0)
+		p.now = 2 * time.Second
+		gone, _ := p.connect(p.now)
+		shed, _ := p.connect(p.now)
+		first, _ := p.reserve(gone, 100*kB, p.now)
+		second, _ := p.reserve(shed, 100*kB, p.now)
+		p.disconnect(gone)
+		p.mark(shed)
+		for _, c := range []*claim{first, second} {
+			<-c.done
+			assert.False(t, c.granted)
+		}
+		assert.Zero(t, p.claimed)
 	})
 }
 
@@ -184,18 +206,16 @@
 			size = kB
 		}
 		h.phase = phaseBody
-		answer, victims := p.reserve(h, size, p.now)
+		c, victims := p.reserve(h, size, p.now)
 		finish(victims)
-		if answer == pending {
-			answer, _ = p.reserve(h, size, p.now)
-		}
 		h.received = size - 1
 		switch {
 		case ordinary:
-			require.Equal(t, granted, answer)
+			require.NotNil(t, c)
+			require.True(t, c.granted)
 			admitted++
 			p.disconnect(h)
-		case answer != granted:
+		case c == nil:
 			p.disconnect(h)
 		}
 	}
@@ -246,7 +266,7 @@
 func assertSums(t *testing.T, p *poolTest, seed uint64) {
 	var bytes, leaving int64
 	shedding := 0
-	for h := range p.holdings {
+	for _, h := range p.holdings {
 		held := h.bytes + p.config.connectionBytes
 		bytes += held
 		if h.shed {
@@ -258,5 +278,11 @@
 	require.Equal(t, leaving, p.leaving, "seed %d", seed)
 	require.Equal(t, shedding, p.shedding, "seed %d", seed)
 	require.LessOrEqual(t, len(p.holdings)-shedding, p.config.connections, "seed %d", seed)
-	require.LessOrEqual(t, p.bytes-p.leaving, p.config.bytes, "seed %d", seed)
+	var claimed int64
+	for _, c := range p.claims {
+		claimed += c.bytes
+	}
+	require.Equal(t, claimed, p.claimed, "seed %d", seed)
+	require.LessOrEqual(t, p.bytes-p.leaving+p.claimed, p.config.bytes, "seed %d", seed)
+	require.False(t, len(p.claims) > 0 && p.bytes+p.claims[0].bytes <= p.config.bytes, "a claim that fits is granted, seed %d", seed)
 }
