dispatcher: decide how long a wait for a good place pays

Nothing waited near data, and a gang waited for one rack for its expected run time. With bounds.farMultiplier, a task or gang that could start elsewhere waits while its expected wait is below three quarters of the time that the good place saves, within its workflow's slack; never for longer than the time saved. The multiplier is learned from runs far away.

--- a/assembler/host.go
+++ b/assembler/host.go
@@ -36,6 +36,7 @@
 	StopTime       time.Duration // For each part to finish its work in flight.
 	FinalRetention time.Duration // Minimum time for which finished workflows are remembered.
 	MaxRecordBytes int           // Largest record that the store takes, with its key; zero for no limit.
+	FarMultiplier  float64       // See steward.Config.
 	CallersAddr    string
 	ReadyAddr      string
 	MetricsAddr    string // Empty for none.
@@ -145,7 +146,7 @@
 	for _, name := range c.DataCentres {
 		owners[name] = steward.New(steward.Config{
 			Host: c.Host, HostDataCentre: c.DataCentre, DataCentre: name, DataCentres: c.DataCentres, Incarnation: incarnation, MilliCPU: c.MilliCPU,
-			Lease: min(defaultLease, c.MaxLease), MaxLease: c.MaxLease, FinalRetention: c.FinalRetention + finalRetentionMargin,
+			Lease: min(defaultLease, c.MaxLease), MaxLease: c.MaxLease, FinalRetention: c.FinalRetention + finalRetentionMargin, FarMultiplier: c.FarMultiplier,
 			Store: c.Store, Shared: shared, Workers: c.Workers, List: list, Catalogue: catalogue, Replica: replica,
 			ReplicaFreshness: sharedTracker, ListFreshness: workersTracker, NewPacer: func() steward.Pacer { return pacer.New() }, Now: c.Now, Logger: logger,
 			OnOwnership: func(on bool) {
--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -110,5 +110,6 @@
 		"starts-again": c.StartsAgain, "late-ends": c.LateEnds, "late-done": c.LateDone, "reappeared": c.Reappeared,
 		"unrecorded-ends": c.UnrecordedEnds, "final-ends": c.FinalEnds, "held-ends": c.HeldEnds,
 		"urgent-stops": c.UrgentStops, "urgent-waits": c.UrgentWaits,
+		"place-waits": c.PlaceWaits, "place-wait-ms": c.PlaceWaitMs, "place-waits-paid": c.PlaceWaitsPaid, "place-waits-lost": c.PlaceWaitsLost,
 	}
 }
--- a/dispatcher/besteffort.go
+++ b/dispatcher/besteffort.go
@@ -19,6 +19,9 @@
 			defer options.release(d)
 		}
 		if o, ok := options.take(t.avoidWorker); ok {
+			if d.holdForPlace(t, o, options) {
+				continue
+			}
 			d.startAt(t, o.worker, o.share)
 			options.putBack(o)
 			continue
@@ -121,7 +124,10 @@
 		cost -= interferenceGain * d.interferingFraction(w)
 	}
 	if spec.Rack != "" && spec.Rack != w.entry.Rack {
-		cost++
+		cost += d.farCost()
+	}
+	if d.wants(spec, w) {
+		cost += wantedGain
 	}
 	return cost, share, true
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -41,6 +41,10 @@
 	// KeepLongRunning makes the dispatcher stop no long-running task to make room
 	// for urgent work.
 	KeepLongRunning bool
+	// FarMultiplier is the factor of the run time of tasks away from the rack of
+	// their data and of gangs on several racks, at least one. Zero means that it is not
+	// known; then nothing waits near data, and gangs for up to their run time.
+	FarMultiplier float64
 	// Pacer sets the speed of best-effort tasks. It may be nil.
 	Pacer Pacer
 }
@@ -124,6 +128,8 @@
 	counters         Counters
 	audit            endAudit
 	shortage         shortage
+	farFactor        farFactor
+	places           places
 	lastTransfer     int             // Number of the last transfer.
 	bestEffortImages map[string]bool // Images of best-effort tasks seen so far.
 }
@@ -150,6 +156,11 @@
 
 	UrgentStops uint64 // Long-running tasks that were stopped to make room for urgent work.
 	UrgentWaits uint64 // Urgent steps that had to wait for room while there was long-running work.
+
+	PlaceWaits     uint64 // Tasks and gangs that waited for a good place.
+	PlaceWaitMs    uint64 // Time that those waited that have started, in milliseconds.
+	PlaceWaitsPaid uint64 // Those that started in the good place,
+	PlaceWaitsLost uint64 // and those that started elsewhere.
 }
 
 // New returns the state of an owner whose claim took effect at now.
@@ -170,6 +181,8 @@
 		takeover:         map[string]bool{},
 		takeoverLogged:   map[string]bool{},
 		bestEffortImages: map[string]bool{},
+		farFactor:        newFarFactor(c.FarMultiplier),
+		places:           newPlaces(),
 	}
 }
 
--- a/dispatcher/gang.go
+++ b/dispatcher/gang.go
@@ -73,6 +73,9 @@
 	}
 	placements := d.placeGang(s)
 	number := s.lastRun() + 1
+	if len(placements) > 0 {
+		d.endPlaceWait(s.tasks[0], spreadOverRacks(placements))
+	}
 	for _, p := range placements {
 		r := d.startRun(p.task, p.worker, number)
 		if s.spec().BestEffort {
@@ -82,9 +85,7 @@
 }
 
 // placeGang chooses workers for all members of a gang, or returns nil if there
-// is no room for all. A gang with OneRack set waits for room on a single rack
-// for up to the expected run time of its tasks, because running on several
-// racks delays it by at least that much.
+// is no room for all. A gang with OneRack set may wait for room on a single rack.
 func (d *Dispatcher) placeGang(s *step) []placement {
 	if !s.spec().OneRack {
 		return d.placeAll(s)
@@ -97,12 +98,22 @@
 			return placements
 		}
 	}
-	if d.now-s.readySince() < d.expectedRunTime(s) && d.mayFitOneRack(s) {
+	if d.waitsForOneRack(s) {
 		return nil
 	}
 	return d.placeAll(s)
 }
 
+// waitsForOneRack reports whether a gang that fits on no single rack at present
+// waits for one. Without a multiplier it does for up to the expected run time of
+// its tasks, because running on several racks delays it by at least that much.
+func (d *Dispatcher) waitsForOneRack(s *step) bool {
+	if d.farFactor.enabled() {
+		return d.mayFitOneRack(s) && d.holdGang(s)
+	}
+	return d.now-s.readySince() < d.expectedRunTime(s) && d.mayFitOneRack(s)
+}
+
 // readySince returns the time from which all tasks of the step could have
 // started.
 func (s *step) readySince() time.Duration {
@@ -139,6 +150,11 @@
 	return placements
 }
 
+// spreadOverRacks reports whether placements are on several racks.
+func spreadOverRacks(placements []placement) bool {
+	return slices.ContainsFunc(placements, func(p placement) bool { return p.worker.entry.Rack != placements[0].worker.entry.Rack })
+}
+
 // releasePlacements releases what was reserved for placements while the others
 // were chosen.
 func (s *step) releasePlacements(placements []placement) {
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -44,6 +44,7 @@
 	waiting    int             // Tasks that are not done and have no run.
 	spread     map[*worker]int // Live runs by worker.
 	roomLogged uint8           // Bits of the outcomes of decisions about room that were logged.
+	farLogged  uint8           // Bits of the outcomes of decisions about places that were logged.
 	rack       string          // Rack to which the placement of a gang is limited at the moment.
 }
 
@@ -64,8 +65,9 @@
 	runs         []*run
 	past         []pastRun // By run number, see maxPastRuns.
 	readySince   time.Duration
-	avoidWorker  *worker // Worker of its last failure.
-	away         bool    // It was stopped for urgent work and is not at work yet.
+	avoidWorker  *worker      // Worker of its last failure.
+	place        placeWaiting // Its wait for a good place.
+	away         bool         // It was stopped for urgent work and is not at work yet.
 }
 
 func newJob(now, age time.Duration, w *briarspring.Workflow, offset uint64) *job {
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -43,6 +43,7 @@
 type stepOptions struct {
 	rate func(w *worker) (cost, share float64, ok bool)
 	heap optionHeap
+	far  bool // No other task of the step waits for its rack in this pass.
 }
 
 // newStepOptions rates all workers; rate returns false for those that take no
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -37,6 +37,9 @@
 	if !ok {
 		ratio = 1
 	}
+	if d.learnFar(r, estimate) {
+		return
+	}
 	measured := min(float64(d.now-r.since)/float64(estimate), maxRatio)
 	d.ratios[queue] = ratio + ratioRate*(measured-ratio)
 }
@@ -95,6 +98,7 @@
 	}
 	d.takeover = map[string]bool{}
 	d.unmet, d.unmetReserved = unmet{}, unmet{}
+	d.resetPlaces()
 	var reserved, bestEffort []candidate
 	for _, j := range d.jobs {
 		if j.inactive() {
@@ -249,6 +253,9 @@
 			}
 			return
 		}
+		if d.holdForPlace(t, o, options) {
+			continue
+		}
 		d.start(t, o.worker)
 		options.putBack(o)
 	}
@@ -348,5 +355,8 @@
 	if spec.Rack != "" && spec.Rack != w.entry.Rack {
 		cost += rackCost
 	}
+	if d.wants(spec, w) {
+		cost += wantedCost
+	}
 	return cost
 }
--- a/dispatcher/straggler.go
+++ b/dispatcher/straggler.go
@@ -46,12 +46,13 @@
 	if !s.spec().Speculative || s.spec().BestEffort || s.spec().Gang || s.unfinished == 0 {
 		return
 	}
-	limit := time.Duration(copyFactor*float64(d.expectedRunTime(s))) + copyDelay
+	expected := copyFactor * float64(d.expectedRunTime(s))
 	for _, t := range s.tasks {
 		if t.done || !t.local || t.transferring || len(t.runs) == 0 || len(t.runs) >= maxCopies || t.suspicion > 0 || d.exhausted(t) {
 			continue
 		}
 		first := t.runs[0]
+		limit := time.Duration(expected*d.farTimes(first)) + copyDelay
 		if first.stopping || first.unreported || d.now-first.since < limit {
 			continue
 		}
--- a/dispatcher/transfer.go
+++ b/dispatcher/transfer.go
@@ -107,7 +107,7 @@
 		}
 		spec := t.step.spec()
 		if spec.LongRunning && !spec.Gang {
-			if t.pending() && d.mayAct(t.step) && (d.outOfService || d.waitedFor(t, longRunningWait)) {
+			if t.pending() && d.mayAct(t.step) && (d.outOfService || !t.waitsForPlace(d.now) && d.waitedFor(t, longRunningWait)) {
 				tasks = append(tasks, t)
 				due = true
 			}
@@ -133,6 +133,8 @@
 	switch {
 	case d.outOfService:
 		return true
+	case t.waitsForPlace(d.now):
+		return false
 	case spec.BestEffort || spec.LongRunning:
 		return d.waitedFor(t, unrunnableWait) && !d.runnable(t.step)
 	}
--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -169,11 +169,12 @@
 	}
 }
 
-// startable returns how many tasks of a step wait for nothing but room.
+// startable returns how many tasks of a step wait for nothing but room. One that
+// waits for a good place could start elsewhere, so nothing is stopped for it.
 func (d *Dispatcher) startable(s *step) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t.pending() && !d.exhausted(t) && t.suspicion == 0 {
+		if t.pending() && !d.exhausted(t) && t.suspicion == 0 && t.place.heldAt != d.now {
 			n++
 		}
 	}
@@ -361,7 +362,7 @@
 // expectedEnd returns the time until a run is expected to end, or false if it
 // takes so much longer than expected that nothing is known.
 func (d *Dispatcher) expectedEnd(r *run) (time.Duration, bool) {
-	expected := d.expectedRunTime(r.task.step)
+	expected := time.Duration(float64(d.expectedRunTime(r.task.step)) * d.farTimes(r))
 	age := d.now - r.since
 	if expected <= 0 || age > time.Duration(copyFactor*float64(expected)) {
 		return 0, false
