dispatcher: a step waits for its rack as a whole, and urgent steps keep clear of stops

A step ends with its last task, so all of its tasks wait or none, and one that has just become ready counts the tasks that wait already.

--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -43,7 +43,8 @@
 type stepOptions struct {
 	rate func(w *worker) (cost, share float64, ok bool)
 	heap optionHeap
-	far  bool // No other task of the step waits for its rack in this pass.
+
+	decided bool // Which tasks of the step wait for its rack in this pass is decided.
 }
 
 // newStepOptions rates all workers; rate returns false for those that take no
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -24,7 +24,8 @@
 // placeView is what the decision to wait for a good place needs to know. Times are
 // relative to the decision.
 type placeView struct {
-	saved       time.Duration         // Time that a run in the good place saves.
+	extra       time.Duration         // Time that a run elsewhere takes in addition.
+	saved       time.Duration         // Time that a run in the good place saves its step.
 	takes       time.Duration         // Expected run time there.
 	waited      time.Duration         // Time since a start elsewhere was first passed up.
 	slack       time.Duration         // Time until a start in the good place would be late.
@@ -34,6 +35,7 @@
 	scarce      bool                  // It is urgent, and there isn't enough room elsewhere.
 	need        briarspring.Resources // Of one task.
 	tasks       int                   // Tasks that have to start at once, on one rack.
+	others      int                   // Tasks of other steps that wait and come later, if this one has not waited yet.
 	racks       [][]placeWorker       // Racks that are good places.
 }
 
@@ -47,8 +49,9 @@
 
 // placeClaim is room that a task is expected to use.
 type placeClaim struct {
-	until  time.Duration
-	amount briarspring.Resources
+	until   time.Duration
+	amount  briarspring.Resources
+	assumed bool // For tasks that have not decided yet in the present pass.
 }
 
 // placeOutcome is why a task waits for a good place or not.
@@ -63,6 +66,7 @@
 	placeDeadline                      // The workflow would be late, or too late to be of value.
 	placeScarce                        // Room elsewhere may not last.
 	placeTakenOver                     // An earlier owner may have had it wait.
+	placeUseless                       // Nothing is saved.
 	placeOutcomes                      // Number of outcomes.
 )
 
@@ -71,7 +75,8 @@
 	return [...]string{
 		"room is expected there in time", "the expected wait is longer than it pays", "nothing there is known to end",
 		"no worker there takes starts", "it has waited for as long as it pays", "its workflow would be late",
-		"room elsewhere may not last", "an earlier owner may have had it wait", "invalid",
+		"room elsewhere may not last", "an earlier owner may have had it wait",
+		"its step would end no earlier", "invalid",
 	}[min(o, placeOutcomes)]
 }
 
@@ -112,10 +117,10 @@
 		if !v.longRunning && v.waited+d.expected <= v.saved {
 			d.outcome = placeDeadline
 		}
-	case d.expected > pays && !(v.slack < v.saved && d.expected <= v.slack):
+	case d.expected > pays && !(v.slack < v.extra && d.expected <= v.slack):
 		d.outcome = placeTooLong
 	default:
-		v.claim(v.racks[rack], d.expected)
+		v.claim(v.racks[rack], d.expected, false)
 	}
 	return d
 }
@@ -127,6 +132,8 @@
 		return placeTakenOver
 	case v.scarce:
 		return placeScarce
+	case !v.longRunning && v.saved <= 0:
+		return placeUseless
 	}
 	return placeWait
 }
@@ -147,10 +154,10 @@
 	if v.longRunning {
 		return most, pays, placeWait
 	}
-	if v.slack >= v.saved {
-		most = min(most, v.slack-v.saved)
-	} else if v.useful >= v.saved {
-		most = min(most, v.useful-v.saved)
+	if v.slack >= v.extra {
+		most = min(most, v.slack-v.extra)
+	} else if v.useful >= v.extra {
+		most = min(most, v.useful-v.extra)
 	}
 	if most <= 0 {
 		return 0, 0, placeDeadline
@@ -228,7 +235,7 @@
 }
 
 // claim sets the room on a rack at a time aside for the tasks of the view.
-func (v *placeView) claim(rack []placeWorker, at time.Duration) {
+func (v *placeView) claim(rack []placeWorker, at time.Duration, assumed bool) {
 	left := v.tasks
 	for i := range rack {
 		w := &rack[i]
@@ -240,7 +247,67 @@
 		if v.longRunning {
 			until = math.MaxInt64
 		}
-		*w.claims = append(*w.claims, placeClaim{until: until, amount: v.need.Times(int64(n))})
+		*w.claims = append(*w.claims, placeClaim{until: until, amount: v.need.Times(int64(n)), assumed: assumed})
 		left -= n
+		if !assumed {
+			w.limit -= n
+		}
+	}
+}
+
+// decideTogether decides for tasks of a step that have waited for some time each:
+// all of them wait or none, as the step ends with its last task. Long-running tasks
+// don't end, so each is decided on its own. It returns the decisions of those that
+// wait, and that for the first one that does not, if any.
+func decideTogether(v *placeView, waited []time.Duration, decide func(*placeView) placeDecision) (waits []placeDecision, refused *placeDecision) {
+	v.assumeOthers()
+	defer v.dropOthers()
+	var before [][]int
+	for _, rack := range v.racks {
+		var lengths []int
+		for _, w := range rack {
+			lengths = append(lengths, len(*w.claims))
+		}
+		before = append(before, lengths)
+	}
+	for _, v.waited = range waited {
+		d := decide(v)
+		if d.outcome == placeWait {
+			waits = append(waits, d)
+			continue
+		}
+		if v.longRunning {
+			return waits, &d
+		}
+		for i, rack := range v.racks {
+			for k, w := range rack {
+				*w.claims = (*w.claims)[:before[i][k]]
+			}
+		}
+		return nil, &d
+	}
+	return waits, nil
+}
+
+// assumeOthers claims room for the other tasks that wait, which are taken to need as
+// much. A task that has just become ready would otherwise displace them, and they
+// would have waited for nothing.
+func (v *placeView) assumeOthers() {
+	for range v.others {
+		in, ok := v.roomIn(v.racks[0])
+		if !ok {
+			return
+		}
+		v.claim(v.racks[0], in, true)
+	}
+}
+
+// dropOthers undoes assumeOthers.
+func (v *placeView) dropOthers() {
+	if v.others == 0 {
+		return
+	}
+	for _, w := range v.racks[0] {
+		*w.claims = slices.DeleteFunc(*w.claims, func(c placeClaim) bool { return c.assumed })
 	}
 }
--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -169,12 +169,12 @@
 	}
 }
 
-// startable returns how many tasks of a step wait for nothing but room. One that
-// waits for a good place could start elsewhere, so nothing is stopped for it.
+// startable returns how many tasks of a step wait for nothing but room, and have not
+// passed up any.
 func (d *Dispatcher) startable(s *step) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t.pending() && !d.exhausted(t) && t.suspicion == 0 && t.place.heldAt != d.now {
+		if t.pending() && !d.exhausted(t) && t.suspicion == 0 && !d.passedUp(t) {
 			n++
 		}
 	}
--- a/dispatcher/wait.go
+++ b/dispatcher/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"briarspring"
@@ -27,15 +28,34 @@
 // placeWaiting is a task's wait for a good place, or that of a gang's first task.
 type placeWaiting struct {
 	since    time.Duration // When a start elsewhere was first passed up.
-	heldAt   time.Duration // When the last pass decided that it waits.
+	heldAt   time.Duration // When a pass last decided that it waits.
+	heldIn   uint64        // Number of that pass.
 	began    bool          // It has waited.
 	expected time.Duration // Expected wait when it began.
 }
 
+// placeHeld reports whether the present pass has decided that a task waits for a place.
+func (d *Dispatcher) placeHeld(t *task) bool {
+	return t.place.heldAt != 0 && t.place.heldIn == d.places.pass
+}
+
+// passedUp reports whether a task waits for a good place, or has done so and would still
+// run if it had started elsewhere instead. No long-running task is stopped for it: it had
+// room.
+func (d *Dispatcher) passedUp(t *task) bool {
+	if !t.place.began {
+		return false
+	}
+	s := t.step
+	return d.placeHeld(t) || d.now < t.place.since+time.Duration(*d.farFactor.of(s)*float64(d.expectedRunTime(s)))
+}
+
 // places holds what is known of waits for good places.
 type places struct {
+	pass   uint64                   // Number of the present pass.
 	racks  map[string]*rackRoom     // For the present pass.
 	wanted map[string]time.Duration // When tasks last waited for a rack.
+	held   map[string][]*task       // Tasks that wait for a rack, by the last pass that decided on any.
 	audit  endAudit
 	decide func(*placeView) placeDecision
 }
@@ -48,7 +68,7 @@
 }
 
 func newPlaces() places {
-	return places{racks: map[string]*rackRoom{}, wanted: map[string]time.Duration{}, decide: decidePlace}
+	return places{racks: map[string]*rackRoom{}, wanted: map[string]time.Duration{}, held: map[string][]*task{}, decide: decidePlace}
 }
 
 // resetPlaces drops what the last pass knew.
@@ -56,10 +76,12 @@
 	if !d.farFactor.enabled() {
 		return
 	}
+	d.places.pass++
 	clear(d.places.racks)
 	for rack, at := range d.places.wanted {
 		if d.now-at > wantedTime {
 			delete(d.places.wanted, rack)
+			delete(d.places.held, rack)
 		}
 	}
 }
@@ -81,9 +103,8 @@
 // holdForPlace reports whether a task waits for its rack rather than start with the
 // best option, which has been taken from the others. If so, the option is put back.
 func (d *Dispatcher) holdForPlace(t *task, o option, options *stepOptions) bool {
-	s := t.step
-	spec := s.spec()
-	if !d.farFactor.enabled() || spec.Rack == "" || o.worker.entry.Rack == spec.Rack || options.far {
+	spec := t.step.spec()
+	if !d.farFactor.enabled() || spec.Rack == "" || o.worker.entry.Rack == spec.Rack {
 		return false
 	}
 	for _, other := range options.heap {
@@ -91,20 +112,91 @@
 			return false // It is passed up for another reason than room.
 		}
 	}
-	v := d.newPlaceView(t, []string{spec.Rack}, 1)
-	v.scarce = d.urgent(s) && !spareElsewhere(s, o, options)
-	decision := d.places.decide(v)
-	if decision.outcome != placeWait {
-		// Tasks that follow find no more room, as claims are only added.
-		options.far = true
-		d.logFar(t, v, decision)
+	if !options.decided {
+		options.decided = true
+		d.decideStepPlaces(t.step, o, options)
+	}
+	if !d.placeHeld(t) {
 		return false
 	}
-	d.noteHeld(t, v, decision, spec.Rack)
 	heap.Push(&options.heap, o)
 	return true
 }
 
+// decideStepPlaces decides which tasks of a step wait for its rack in this pass.
+func (d *Dispatcher) decideStepPlaces(s *step, o option, options *stepOptions) {
+	var tasks []*task
+	for _, t := range s.tasks {
+		if t.pending() && !d.exhausted(t) && t.suspicion == 0 && !d.heldBack(t) {
+			tasks = append(tasks, t)
+		}
+	}
+	v := d.newPlaceView(tasks[0], []string{s.spec().Rack}, 1)
+	// If urgent tasks have waited for room, that elsewhere may have been made by stops.
+	v.scarce = d.urgent(s) && (d.shortage.within(d.now, quietTime) || !spareElsewhere(s, o, options))
+	v.saved = d.savedInStep(s, v)
+	waited := make([]time.Duration, len(tasks))
+	for i, t := range tasks {
+		waited[i] = d.placeWaited(t)
+		v.takenOver = v.takenOver || d.readyBefore(t)
+	}
+	v.others = d.othersHeld(s)
+	waits, refused := decideTogether(v, waited, d.places.decide)
+	for i, decision := range waits {
+		d.noteHeld(tasks[i], v, decision, s.spec().Rack)
+	}
+	if refused != nil {
+		v.waited = waited[len(waits)]
+		d.logFar(tasks[len(waits)], v, *refused)
+	}
+}
+
+// othersHeld returns how many tasks wait for the rack of a step that has not waited for
+// it yet, and have not been decided on in this pass.
+func (d *Dispatcher) othersHeld(s *step) int {
+	n := 0
+	for _, t := range d.places.held[s.spec().Rack] {
+		if t.step == s {
+			return 0
+		}
+		if t.place.began && !d.placeHeld(t) && t.pending() {
+			n++
+		}
+	}
+	return n
+}
+
+// savedInStep returns the time that the step ends earlier if its tasks run near: none
+// if others run far away and take as long.
+func (d *Dispatcher) savedInStep(s *step, v *placeView) time.Duration {
+	others := v.takes
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.far() {
+				others = max(others, v.takes+v.extra-(d.now-r.since))
+			}
+		}
+	}
+	return v.takes + v.extra - others
+}
+
+// placeWaited returns for how long a task has waited for a place. For a long-running
+// one it is the time since the end of its last run.
+func (d *Dispatcher) placeWaited(t *task) time.Duration {
+	switch {
+	case t.step.spec().LongRunning:
+		return d.now - t.readySince
+	case t.place.since != 0:
+		return d.now - t.place.since
+	}
+	return 0
+}
+
+// readyBefore reports whether a task may have waited under an earlier owner.
+func (d *Dispatcher) readyBefore(t *task) bool {
+	return d.config.Predecessor && t.readySince < d.startedAt+inheritedTime
+}
+
 // spareElsewhere reports whether the waiting tasks of a step fit spareRoom times on
 // the workers that could take them.
 func spareElsewhere(s *step, o option, options *stepOptions) bool {
@@ -128,7 +220,7 @@
 	}
 	d.noteHeld(s.tasks[0], v, decision, "")
 	for _, t := range s.tasks {
-		t.place.heldAt = d.now
+		t.place.heldAt, t.place.heldIn = d.now, d.places.pass
 	}
 	return true
 }
@@ -139,20 +231,14 @@
 	spec := s.spec()
 	takes := d.expectedRunTime(s)
 	slack := s.due + s.job.objective - d.now - d.expectedChainTime(s.job, s.number)
+	extra := time.Duration((*d.farFactor.of(s) - 1) * float64(takes))
 	v := &placeView{
-		saved: time.Duration((*d.farFactor.of(s) - 1) * float64(takes)), takes: takes, slack: slack, useful: slack + (lateLimit-1)*s.job.objective,
-		longRunning: spec.LongRunning, need: reservation(spec), tasks: tasks,
-		takenOver: d.config.Predecessor && t.readySince < d.startedAt+inheritedTime,
+		extra: extra, saved: extra, takes: takes, slack: slack, useful: slack + (lateLimit-1)*s.job.objective,
+		longRunning: spec.LongRunning, need: reservation(spec), tasks: tasks, takenOver: d.readyBefore(t), waited: d.placeWaited(t),
 	}
 	if spec.BestEffort {
 		v.need = spec.Resources
 	}
-	switch {
-	case spec.LongRunning:
-		v.waited = d.now - t.readySince
-	case t.place.since != 0:
-		v.waited = d.now - t.place.since
-	}
 	for _, rack := range racks {
 		v.racks = append(v.racks, d.placeWorkers(s, rack))
 	}
@@ -165,6 +251,9 @@
 	if r == nil {
 		r = &rackRoom{claims: map[*worker]*[]placeClaim{}, rooms: map[bool][]placeWorker{}}
 		d.places.racks[rack] = r
+		d.places.held[rack] = slices.DeleteFunc(d.places.held[rack], func(t *task) bool {
+			return !t.pending() || !t.place.began || t.step.job.inactive()
+		})
 		for _, w := range d.workersByID {
 			if w.listed && w.entry.Rack == rack {
 				r.workers = append(r.workers, w)
@@ -230,9 +319,12 @@
 // noteHeld notes that a task waits for a good place. Rack is empty for a gang.
 func (d *Dispatcher) noteHeld(t *task, v *placeView, decision placeDecision, rack string) {
 	p := &t.place
-	p.heldAt = d.now
+	p.heldAt, p.heldIn = d.now, d.places.pass
 	if rack != "" {
 		d.places.wanted[rack] = d.now
+		if !p.began {
+			d.places.held[rack] = append(d.places.held[rack], t)
+		}
 	}
 	if p.since == 0 {
 		p.since = d.now
