Settings, metrics and pages of waits for a good place

bounds.farMultiplier is checked and described in the reference of settings, which now ends with the optional keys of the platform's file.

--- a/cmd/briarspring/check.go
+++ b/cmd/briarspring/check.go
@@ -17,7 +17,7 @@
 // code is 2.
 func (c *checkCmd) Run() error {
 	if c.Reference {
-		fmt.Print(loader.Reference())
+		fmt.Print(loader.Reference() + platform.Reference())
 		return nil
 	}
 	if c.File == "" {
--- a/dispatcher/gang.go
+++ b/dispatcher/gang.go
@@ -73,7 +73,7 @@
 	}
 	placements := d.placeGang(s)
 	number := s.lastRun() + 1
-	if len(placements) > 0 {
+	if len(placements) > 0 && d.farFactor.enabled() {
 		d.endPlaceWait(s.tasks[0], spreadOverRacks(placements))
 	}
 	for _, p := range placements {
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -99,7 +99,9 @@
 	d.logStart(t, w, number)
 	waited := d.now - t.readySince
 	d.addRun(r)
-	d.endPlaceWait(t, r.far())
+	if d.farFactor.enabled() {
+		d.endPlaceWait(t, r.far())
+	}
 	d.counters.Starts++
 	d.startsLeft--
 	j := t.step.job
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"briarspring/loader"
+	"briarspring/platform"
 )
 
 func TestExamplesAreRight(t *testing.T) {
@@ -26,7 +27,7 @@
 func TestReferenceIsUpToDate(t *testing.T) {
 	page, err := os.ReadFile("../docs/settings.md")
 	require.NoError(t, err)
-	assert.Equal(t, loader.Reference(), string(page), "regenerate it: briarspring check-settings --reference > docs/settings.md")
+	assert.Equal(t, loader.Reference()+platform.Reference(), string(page), "regenerate it: briarspring check-settings --reference > docs/settings.md")
 }
 
 func TestFaults(t *testing.T) {
