--- a/dispatcher/besteffort.go
+++ b/dispatcher/besteffort.go
@@ -19,7 +19,7 @@
 			defer options.release(d)
 		}
 		if o, ok := options.take(t.avoidWorker); ok {
-			if d.holdForPlace(t, o, options) {
+			if d.farFactor.enabled() && d.holdForPlace(t, o, options) {
 				continue
 			}
 			d.startAt(t, o.worker, o.share)
@@ -126,7 +126,7 @@
 	if spec.Rack != "" && spec.Rack != w.entry.Rack {
 		cost += d.farCost()
 	}
-	if d.wants(spec, w) {
+	if len(d.places.wanted) > 0 && d.wants(spec, w) {
 		cost += wantedGain
 	}
 	return cost, share, true
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -65,9 +65,9 @@
 	runs         []*run
 	past         []pastRun // By run number, see maxPastRuns.
 	readySince   time.Duration
-	avoidWorker  *worker      // Worker of its last failure.
-	place        placeWaiting // Its wait for a good place.
-	away         bool         // It was stopped for urgent work and is not at work yet.
+	avoidWorker  *worker       // Worker of its last failure.
+	place        *placeWaiting // Its wait for a good place; nil for none.
+	away         bool          // It was stopped for urgent work and is not at work yet.
 }
 
 func newJob(now, age time.Duration, w *briarspring.Workflow, offset uint64) *job {
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -253,7 +253,7 @@
 			}
 			return
 		}
-		if d.holdForPlace(t, o, options) {
+		if d.farFactor.enabled() && d.holdForPlace(t, o, options) {
 			continue
 		}
 		d.start(t, o.worker)
@@ -355,7 +355,7 @@
 	if spec.Rack != "" && spec.Rack != w.entry.Rack {
 		cost += rackCost
 	}
-	if d.wants(spec, w) {
+	if len(d.places.wanted) > 0 && d.wants(spec, w) {
 		cost += wantedCost
 	}
 	return cost
--- a/dispatcher/wait.go
+++ b/dispatcher/wait.go
@@ -36,14 +36,14 @@
 
 // placeHeld reports whether the present pass has decided that a task waits for a place.
 func (d *Dispatcher) placeHeld(t *task) bool {
-	return t.place.heldAt != 0 && t.place.heldIn == d.places.pass
+	return t.place != nil && t.place.heldIn == d.places.pass
 }
 
 // passedUp reports whether a task waits for a good place, or has done so and would still
 // run if it had started elsewhere instead. No long-running task is stopped for it: it had
 // room.
 func (d *Dispatcher) passedUp(t *task) bool {
-	if !t.place.began {
+	if t.place == nil || !t.place.began {
 		return false
 	}
 	s := t.step
@@ -88,12 +88,12 @@
 
 // waitsForPlace reports whether the task could start, and waits for a good place.
 func (t *task) waitsForPlace(now time.Duration) bool {
-	return t.place.heldAt != 0 && now-t.place.heldAt <= heldTime
+	return t.place != nil && now-t.place.heldAt <= heldTime
 }
 
 // wants reports whether tasks of another step wait for the rack of a worker.
 func (d *Dispatcher) wants(spec *briarspring.Step, w *worker) bool {
-	if len(d.places.wanted) == 0 || spec.Rack == w.entry.Rack {
+	if spec.Rack == w.entry.Rack {
 		return false
 	}
 	_, ok := d.places.wanted[w.entry.Rack]
@@ -104,7 +104,7 @@
 // best option, which has been taken from the others. If so, the option is put back.
 func (d *Dispatcher) holdForPlace(t *task, o option, options *stepOptions) bool {
 	spec := t.step.spec()
-	if !d.farFactor.enabled() || spec.Rack == "" || o.worker.entry.Rack == spec.Rack {
+	if spec.Rack == "" || o.worker.entry.Rack == spec.Rack {
 		return false
 	}
 	for _, other := range options.heap {
@@ -159,7 +159,7 @@
 		if t.step == s {
 			return 0
 		}
-		if t.place.began && !d.placeHeld(t) && t.pending() {
+		if t.place != nil && t.place.began && !d.placeHeld(t) && t.pending() {
 			n++
 		}
 	}
@@ -186,7 +186,7 @@
 	switch {
 	case t.step.spec().LongRunning:
 		return d.now - t.readySince
-	case t.place.since != 0:
+	case t.place != nil && t.place.since != 0:
 		return d.now - t.place.since
 	}
 	return 0
@@ -220,6 +220,9 @@
 	}
 	d.noteHeld(s.tasks[0], v, decision, "")
 	for _, t := range s.tasks {
+		if t.place == nil {
+			t.place = &placeWaiting{}
+		}
 		t.place.heldAt, t.place.heldIn = d.now, d.places.pass
 	}
 	return true
@@ -252,7 +255,7 @@
 		r = &rackRoom{claims: map[*worker]*[]placeClaim{}, rooms: map[bool][]placeWorker{}}
 		d.places.racks[rack] = r
 		d.places.held[rack] = slices.DeleteFunc(d.places.held[rack], func(t *task) bool {
-			return !t.pending() || !t.place.began || t.step.job.inactive()
+			return !t.pending() || t.place == nil || !t.place.began || t.step.job.inactive()
 		})
 		for _, w := range d.workersByID {
 			if w.listed && w.entry.Rack == rack {
@@ -318,7 +321,10 @@
 
 // noteHeld notes that a task waits for a good place. Rack is empty for a gang.
 func (d *Dispatcher) noteHeld(t *task, v *placeView, decision placeDecision, rack string) {
-	p := &t.place
+	if t.place == nil {
+		t.place = &placeWaiting{}
+	}
+	p := t.place
 	p.heldAt, p.heldIn = d.now, d.places.pass
 	if rack != "" {
 		d.places.wanted[rack] = d.now
@@ -363,8 +369,8 @@
 // starts. The wait of a gang is that of its first task.
 func (d *Dispatcher) endPlaceWait(t *task, far bool) {
 	p := t.place
-	t.place = placeWaiting{}
-	if !p.began {
+	t.place = nil
+	if p == nil || !p.began {
 		return
 	}
 	waited := d.now - p.since
