--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -174,11 +174,12 @@
 	}
 }
 
-// startable returns how many tasks of a step wait for nothing but room.
+// startable returns how many tasks of a step wait for nothing but room, and have not
+// passed up any.
 func (d *Dispatcher) startable(s *step) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t.pending() && !d.exhausted(t) && t.suspicion == 0 {
+		if t.pending() && !d.exhausted(t) && t.suspicion == 0 && !d.passedUp(t) {
 			n++
 		}
 	}
@@ -366,7 +367,7 @@
 // expectedEnd returns the time until a run is expected to end, or false if it
 // takes so much longer than expected that nothing is known.
 func (d *Dispatcher) expectedEnd(r *run) (time.Duration, bool) {
-	expected := d.expectedRunTime(r.task.step)
+	expected := time.Duration(float64(d.expectedRunTime(r.task.step)) * d.farTimes(r))
 	age := d.now - r.since
 	if expected <= 0 || age > time.Duration(copyFactor*float64(expected)) {
 		return 0, false
