Add the command check-configuration

It prints all findings about a configuration record and its difference from the one in force, as text or JSON, with exit codes by level. It writes nothing and calls nobody.

--- a/cmd/briarspring/main.go
+++ b/cmd/briarspring/main.go
@@ -29,6 +29,7 @@
 	Ctl           ctlCmd                       `cmd:"" help:"Commands for operators."`
 	Dev           devCmd                       `cmd:"" help:"Run everything in one process on an embedded platform."`
 	CheckSettings checkCmd                     `cmd:"" help:"Check a settings file and print every fault."`
+	CheckConfig   checkConfigurationCmd        `cmd:"" name:"check-configuration" help:"Check the operators' configuration record before it is sent, and compare it with the version in force."`
 	Certificates  certificatesCmd              `cmd:"" help:"Create a certificate authority and certificates for hosts."`
 	Version       versionCmd                   `cmd:"" help:"Print the version."`
 	Completion    kongplete.InstallCompletions `cmd:"" name:"install-completions" help:"Print how to install shell completion."`
@@ -58,5 +59,9 @@
 	if errors.As(err, &faults) {
 		return exitUsage
 	}
+	var findings *FindingsError
+	if errors.As(err, &findings) {
+		return findings.exitCode()
+	}
 	return ctlExitCode(err)
 }
