dispatcher: make no room by tasks that could not start again

A long-running task of an organisation that uses more than its share, after its limit was lowered, was stopped to make room for urgent work and did not start again, although nothing is stopped when a limit is lowered. Such tasks are left out, as they are when a worker drains. The new test failed before.

--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -351,10 +351,12 @@
 }
 
 // mayMakeRoom reports whether a long-running run on a worker that accepts starts
-// may be stopped for urgent work, apart from the limits on tasks that are away.
+// may be stopped for urgent work, apart from the limits on tasks that are away. One of an
+// organisation that uses more than its share could not start again.
 func (d *Dispatcher) mayMakeRoom(r *run) bool {
 	s := r.task.step
-	if s.spec().Gang || s.job.inactive() || !r.working() || len(r.task.runs) != 1 || r.worker.failureStreak >= quarantineFailures || !d.mayAct(s) {
+	if s.spec().Gang || s.job.inactive() || !r.working() || len(r.task.runs) != 1 || r.worker.failureStreak >= quarantineFailures ||
+		!d.mayAct(s) || !d.withinShare(s.job.organisation) {
 		return false
 	}
 	if r.ref.Run == 1 && r.origin != originOrdered {
--- a/dispatcher/urgent_test.go
+++ b/dispatcher/urgent_test.go
@@ -204,6 +204,18 @@
 		s.d.Submit(s.now, 0, urgent(1, 4000), 6, nil, nil)
 		assert.Empty(t, stops(s.advance(3*time.Second)))
 	})
+	// The stopped task could not start again.
+	t.Run("is not made by organisations that use more than their share", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 2)
+		s.setLimit("a", 14000)
+		s.d.Submit(s.now, 0, workflow("others", longRunning(18, 50000)), 4, nil, nil)
+		s.d.Submit(s.now, 0, ofOrganisation("a", workflow("long", longRunning(2, 7000))), 5, nil, nil)
+		require.Equal(t, 2, countRuns(starts(s.planAndApply())))
+		s.advance(11 * time.Second)
+		s.setLimit("a", 7000)
+		s.d.Submit(s.now, 0, urgent(1, 4000), 6, nil, nil)
+		assert.Empty(t, stops(s.advance(3*time.Second)))
+	})
 	t.Run("is not made on a worker that drains", func(t *testing.T) {
 		s := reservedFixture(t, 0)
 		s.drain("w0", time.Minute)
