dispatcher: make room for no more urgent tasks than the quota allows

Long-running tasks were stopped for all waiting tasks of an urgent step if the quota allowed one of them, and for each step as if it had the quota alone. The room then stayed empty. Steps now count with the tasks that the quota lets start beside those of more urgent steps of the organisation. The new test failed before, with two stops instead of one.

--- a/dispatcher/quota.go
+++ b/dispatcher/quota.go
@@ -123,6 +123,28 @@
 	return o.limit.IsZero() || d.quotaView(o).allows(s.spec().Resources, tasks)
 }
 
+// quotaTasks returns how many more tasks of a step the quota lets start, up to a number,
+// beside planned ones of its organisation.
+func (d *Dispatcher) quotaTasks(s *step, planned briarspring.Resources, most int) int {
+	o := s.job.organisation
+	switch {
+	case o.name == "":
+		return most
+	case !d.organisationsKnown:
+		return 0
+	case o.limit.IsZero():
+		return most
+	}
+	v := d.quotaView(o)
+	v.used = v.used.Add(planned)
+	n := 0
+	for n < most && v.allows(s.spec().Resources, 1) {
+		v.used = v.used.Add(s.spec().Resources)
+		n++
+	}
+	return n
+}
+
 // withinShare reports whether an organisation uses no more than its share, so that a
 // run of it that stops may start again.
 func (d *Dispatcher) withinShare(o *organisation) bool {
--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -147,16 +147,23 @@
 		return
 	}
 	var waiting []candidate
+	var tasks []int // That may start, by step.
+	planned := map[*organisation]briarspring.Resources{}
 	for _, c := range reserved {
-		if len(waiting) < maxRoomSteps && c.step.waiting > 0 && d.urgent(c.step) && d.startable(c.step) > 0 && d.quotaAllows(c.step) {
-			waiting = append(waiting, c)
+		if len(waiting) >= maxRoomSteps || c.step.waiting == 0 || !d.urgent(c.step) {
+			continue
+		}
+		o := c.step.job.organisation
+		if n := d.quotaTasks(c.step, planned[o], d.startable(c.step)); n > 0 {
+			planned[o] = planned[o].Add(c.step.spec().Resources.Times(int64(n)))
+			waiting, tasks = append(waiting, c), append(tasks, n)
 		}
 	}
 	if len(waiting) == 0 {
 		return
 	}
 	d.shortage.decided, d.shortage.decidedAt = true, d.now
-	p := d.newRoomPass(waiting)
+	p := d.newRoomPass(waiting, tasks)
 	if p.total == 0 {
 		return
 	}
@@ -223,8 +230,9 @@
 	total   int           // Long-running tasks of the data centre.
 }
 
-// newRoomPass returns the view for a decision about urgent steps that wait.
-func (d *Dispatcher) newRoomPass(waiting []candidate) *roomPass {
+// newRoomPass returns the view for a decision about urgent steps that wait, each with a
+// number of tasks.
+func (d *Dispatcher) newRoomPass(waiting []candidate, tasks []int) *roomPass {
 	p := &roomPass{groups: map[*step]int{}}
 	away := d.addGroups(p)
 	p.view.budget = max(0, p.total/awayShare-away)
@@ -233,10 +241,10 @@
 			d.addWorker(p, w)
 		}
 	}
-	for _, c := range waiting {
+	for i, c := range waiting {
 		s := c.step
 		p.view.steps = append(p.view.steps, roomStep{
-			need: s.spec().Resources, tasks: d.startable(s), priority: s.job.workflow.Priority, slack: c.slack, useful: c.usefulTime(),
+			need: s.spec().Resources, tasks: tasks[i], priority: s.job.workflow.Priority, slack: c.slack, useful: c.usefulTime(),
 			movable: d.shortage.moving(d.now) && s.job.live == 0 && d.now-s.readySince() < transferTime && c.slack > stopTime+2*roomInterval,
 			limit:   func(i int) int { return d.mostOn(s, p.workers[i]) },
 		})
--- a/dispatcher/urgent_test.go
+++ b/dispatcher/urgent_test.go
@@ -216,6 +216,13 @@
 		s.d.Submit(s.now, 0, urgent(1, 4000), 6, nil, nil)
 		assert.Empty(t, stops(s.advance(3*time.Second)))
 	})
+	t.Run("is not made for more tasks than the quota allows", func(t *testing.T) {
+		s := reservedFixture(t, 0)
+		s.setLimit("a", 8000)
+		s.d.Submit(s.now, 0, ofOrganisation("a", urgent(2, 4000)), 6, nil, nil)
+		s.d.Submit(s.now, 0, ofOrganisation("a", workflow("more", step(2, 4000))), 7, nil, nil)
+		assert.Len(t, stops(s.planAndApply()), 1)
+	})
 	t.Run("is not made on a worker that drains", func(t *testing.T) {
 		s := reservedFixture(t, 0)
 		s.drain("w0", time.Minute)
