dispatcher: share room among all steps of a priority

Organisations share the room within groups of the same urgency. Unless long-running tasks wait, steps are in the order of lateness and deadline, where urgent steps alternate with gangs and steps of more than 10 s, so that groups consisted of single steps and one organisation got all the room. Groups now follow the order that the list has: by urgency if long-running tasks wait, else by lateness. The new test failed before: 8 of 8 tasks instead of 4 each.

--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -122,8 +122,7 @@
 		}
 	}
 	slices.SortFunc(reserved, compareReserved)
-	d.orderUrgent(reserved)
-	d.assignInOrder(reserved)
+	d.assignInOrder(reserved, d.orderUrgent(reserved))
 	d.makeRoom(reserved)
 	for _, j := range d.jobs {
 		if j.inactive() {
@@ -136,7 +135,7 @@
 		}
 	}
 	slices.SortFunc(bestEffort, compareBestEffort)
-	d.assignInOrder(bestEffort)
+	d.assignInOrder(bestEffort, func(candidate) int { return 0 })
 }
 
 // assignStep starts the waiting tasks of a step.
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -63,13 +63,14 @@
 // assignInOrder starts the waiting tasks of sorted candidates. Where there isn't room for
 // all, organisations share it within each priority, apart for work of different urgency:
 // late work of one must not delay what others still have in time, and urgent work of all
-// comes before long-running work.
-func (d *Dispatcher) assignInOrder(list []candidate) {
+// comes before long-running work. The candidates of each priority must be in the order of
+// rank: where ranks alternate, shares would hold among neighbours alone.
+func (d *Dispatcher) assignInOrder(list []candidate, rank func(candidate) int) {
 	for len(list) > 0 {
 		n := 1
 		several := false
-		rank := d.urgencyRank(list[0])
-		for n < len(list) && list[n].step.job.workflow.Priority == list[0].step.job.workflow.Priority && d.urgencyRank(list[n]) == rank {
+		first := rank(list[0])
+		for n < len(list) && list[n].step.job.workflow.Priority == list[0].step.job.workflow.Priority && rank(list[n]) == first {
 			several = several || list[n].step.job.organisation != list[0].step.job.organisation
 			n++
 		}
--- a/dispatcher/share_test.go
+++ b/dispatcher/share_test.go
@@ -87,6 +87,18 @@
 		assert.GreaterOrEqual(t, got["a"], 4)
 		assert.GreaterOrEqual(t, got["b"], 4)
 	})
+	// Guards against shares among neighbours in the order of deadlines alone.
+	t.Run("hold between kinds of work that alternate in the order of deadlines", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+		s.d.SetOrganisations(s.now, weighted(100, "a", "b"), 1)
+		of := map[briarspring.WorkflowID]string{}
+		for i := range 4 {
+			of[s.submitNumbered(2*i, "a", step(2, 1000))] = "a"
+			of[s.submitNumbered(2*i+1, "a", gang(2, 1000))] = "a"
+		}
+		of[s.submitNumbered(8, "b", step(4, 1000))] = "b"
+		assert.Equal(t, map[string]int{"a": 4, "b": 4}, startsOf(s.planAndApply(), of))
+	})
 	t.Run("come after the priority", func(t *testing.T) {
 		s := newFixture(t, dispatcher.Config{Token: 1}, 2)
 		s.d.SetOrganisations(s.now, weighted(1, "a", "b"), 1)
--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -91,14 +91,16 @@
 }
 
 // orderUrgent moves urgent steps with value ahead of long-running ones of their
-// priority, if both wait.
-func (d *Dispatcher) orderUrgent(reserved []candidate) {
+// priority, if both wait. It returns the rank by which the candidates of a priority are
+// in order.
+func (d *Dispatcher) orderUrgent(reserved []candidate) (rank func(candidate) int) {
 	if d.config.KeepLongRunning || !slices.ContainsFunc(reserved, func(c candidate) bool { return c.step.spec().LongRunning }) {
-		return
+		return late
 	}
 	slices.SortStableFunc(reserved, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.step.job.workflow.Priority, b.step.job.workflow.Priority), cmp.Compare(d.urgencyRank(a), d.urgencyRank(b)))
 	})
+	return d.urgencyRank
 }
 
 // urgencyRank orders the candidates of a priority: urgent ones that can be in time,
