dispatcher: request no parts that unknown runs would take up

Until the lease of a silent worker has ended, a new owner counts the worker's capacity as used, without a bound if it knows the worker by name alone. Tasks that this held back counted as waiting for parts: the owner requested the parts in use and those of the tasks, what may be in use grew with the parts that came, and so on up to the whole limit, and the tasks were not transferred as parts were expected. Tasks that could not start even with all parts now request none and move after the usual wait. The new test failed before.

--- a/dispatcher/organisation_test.go
+++ b/dispatcher/organisation_test.go
@@ -300,6 +300,23 @@
 		s.setLimit("a", 1e9)
 		assert.Equal(t, resources(1e9, 0), s.d.OrganisationUse()["a"].Possible)
 	})
+	// A new owner requested more and more of what others held until it had all of it,
+	// and started nothing.
+	t.Run("requests no parts that would not help, and transfers the tasks", func(t *testing.T) {
+		old := newFixture(t, dispatcher.Config{Token: 1}, 1)
+		s := old.successor(9)
+		s.d.AddKnownWorkers([]briarspring.KnownWorker{{ID: "gone", Address: "b", Service: "other"}})
+		s.d.SetWorkers(s.now, s.entries("w0"))
+		s.hearAll()
+		s.d.SetOrganisations(s.now, []dispatcher.Organisation{limited("a", 8000, 5000)}, 3)
+		s.d.Submit(s.now, 0, ofOrganisation("a", workflow("j", step(2, 1000))), 12, nil, nil)
+		require.Empty(t, starts(s.planAndApply()))
+		assert.Zero(t, s.d.OrganisationUse()["a"].Waiting)
+		s.now += 200 * time.Millisecond
+		s.renewAll()
+		s.planAndApply()
+		assert.NotEmpty(t, s.d.TakeTransfers(s.now, func(string, []*briarspring.Step) string { return "voru" }))
+	})
 	t.Run("counts runs of unknown workflows", func(t *testing.T) {
 		old := newFixture(t, dispatcher.Config{Token: 1}, 1)
 		old.d.Submit(old.now, 0, workflow("j", step(2, 1000)), 5, nil, nil)
--- a/dispatcher/quota.go
+++ b/dispatcher/quota.go
@@ -210,7 +210,8 @@
 }
 
 // holdForQuota counts and logs the waiting tasks of a step that the quota holds back,
-// unless there is no room for them either.
+// unless there is no room for them either. Those that more parts would not help are
+// logged alone.
 func (d *Dispatcher) holdForQuota(s *step) {
 	if !d.hasRoom(s) {
 		return
@@ -225,6 +226,10 @@
 		return
 	}
 	o := s.job.organisation
+	if !d.partsHelp(s) {
+		d.logQuotaWait(s, tasks)
+		return
+	}
 	if o.waiting.IsZero() {
 		d.held = append(d.held, o)
 	}
@@ -236,6 +241,20 @@
 	d.logQuotaWait(s, tasks)
 }
 
+// partsHelp reports whether a step that the quota holds back could start with more parts
+// of the limit. What unknown runs may use grows with the share, so without this a new
+// owner would request more and more parts that it can't use, and its tasks would neither
+// start nor be transferred until the leases of silent workers have ended.
+func (d *Dispatcher) partsHelp(s *step) bool {
+	tasks := 1
+	if s.spec().Gang {
+		tasks = s.unfinished
+	}
+	v := d.quotaView(s.job.organisation)
+	return !d.organisationsKnown || v.possible.IsZero() ||
+		v.possible.Fits(limitedDifference(v.whole, v.used.Add(s.spec().Resources.Times(int64(tasks)))))
+}
+
 // waitsForQuota reports whether in the last pass only the quota held back tasks of a
 // step.
 func (d *Dispatcher) waitsForQuota(s *step) bool { return s.heldInPass > 0 && s.heldInPass == d.passes }
