dispatcher: report organisations with workflows but without runs

An organisation that had left the directory was forgotten by the steward when nothing of it ran or waited for parts, also if workflows of it had later tasks: steps behind others, due times to come, or no room at that moment. No parts were requested for them, so that those larger than the share waited for ever. The new test failed before.

--- a/dispatcher/organisation.go
+++ b/dispatcher/organisation.go
@@ -133,8 +133,9 @@
 	o.countUse(classOf(r.task.step), amount)
 }
 
-// OrganisationUse returns the use of each organisation with a limit, for those where
-// anything is above zero.
+// OrganisationUse returns the use of each organisation with a limit, for those that have
+// workflows here or where anything is above zero. Workflows count without runs, since
+// parts of the limit have to be requested for their later tasks.
 func (d *Dispatcher) OrganisationUse() map[string]OrganisationUse {
 	d.updateUnseen()
 	list := map[string]OrganisationUse{}
@@ -143,7 +144,7 @@
 			continue
 		}
 		use := OrganisationUse{Used: o.used, Possible: d.possible(o), Waiting: o.waiting}
-		if use != (OrganisationUse{}) {
+		if o.jobs > 0 || use != (OrganisationUse{}) {
 			list[name] = use
 		}
 	}
--- a/dispatcher/organisation_test.go
+++ b/dispatcher/organisation_test.go
@@ -332,6 +332,26 @@
 	})
 }
 
+// Guards against an organisation that left the directory whose later tasks wait for ever,
+// as its parts are no longer requested once nothing of it runs.
+func TestUseOfAnOrganisationWithWorkflows(t *testing.T) {
+	s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+	s.setLimit("a", 4000)
+	first, second := step(1, 1000), step(1, 1000)
+	second.After = []int{0}
+	s.d.Submit(s.now, 0, ofOrganisation("a", workflow("j", first, second)), 5, nil, nil)
+	assert.Contains(t, s.d.OrganisationUse(), "a", "nothing of it runs yet")
+	s.planAndApply()
+	s.endAll("j", briarspring.RunDone)
+	assert.Contains(t, s.d.OrganisationUse(), "a", "its next step has not started")
+	s.planAndApply()
+	s.endAll("j", briarspring.RunDone)
+	s.store()
+	s.d.Finished(s.now, "j", briarspring.PhaseCompleted)
+	s.store()
+	assert.NotContains(t, s.d.OrganisationUse(), "a")
+}
+
 // Guards against a number of metrics that grows with the number of organisations.
 func TestOrganisationCounters(t *testing.T) {
 	s := newFixture(t, dispatcher.Config{Token: 1}, 10)
