admitter: refuse gangs that their organisation's limit never allows

A gang whose tasks exceed the limit by more than one task was accepted and waited for ever. Two cases of the new test failed before.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -266,6 +266,9 @@
 	if err := a.checkSize(w, value); err != nil {
 		return err
 	}
+	if err := a.checkGangs(&c, w); err != nil {
+		return err
+	}
 	err = a.store(ctx, &c, w.ID, func() briarspring.KeyedRecord {
 		return briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID, registrar.NewAttemptID()), Value: value}
 	})
--- a/admitter/caller.go
+++ b/admitter/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"briarspring"
@@ -205,6 +206,39 @@
 	return organisation, known
 }
 
+// checkGangs returns a *RefusedError if a gang exceeds the limit of its organisation by
+// more than one task, so that it could never run.
+func (a *Admitter) checkGangs(c *Caller, w *briarspring.Workflow) error {
+	if w.Organisation == "" {
+		return nil
+	}
+	directory, _ := a.config.Catalogue.Directory()
+	i := slices.IndexFunc(directory.Organisations, func(o briarspring.Organisation) bool { return o.Name == w.Organisation })
+	if i < 0 {
+		return nil
+	}
+	limit := directory.Organisations[i].Limit
+	for number, s := range w.Steps {
+		if !s.Gang || gangMayRun(s.Resources, s.Tasks, limit) {
+			continue
+		}
+		err := &RefusedError{Reason: fmt.Sprintf("step %d needs more than its organisation may use at once", number)}
+		a.config.Logger.Info("submission refused", c.logFields("workflow", w.ID, "queue", c.Queue.Name, "directory-version", directory.Version,
+			"task", s.Resources.String(), "tasks", s.Tasks, "limit", limit.String(), "error", err)...)
+		return err
+	}
+	return nil
+}
+
+// gangMayRun reports whether all tasks but one are within a limit, whose zero fields are
+// no limit.
+func gangMayRun(task briarspring.Resources, tasks int, limit briarspring.Resources) bool {
+	// Divided, since the product may exceed an int64.
+	within := func(n, limit int64) bool { return limit <= 0 || tasks <= 1 || n <= limit/int64(tasks-1) }
+	return within(task.MilliCPU(), limit.MilliCPU()) && within(task.MemoryMiB(), limit.MemoryMiB()) &&
+		within(task.Accelerators(), limit.Accelerators())
+}
+
 // takenError returns the refusal of a workflow whose ID another organisation's workflow
 // has. It doesn't tell that such a workflow exists.
 func (a *Admitter) takenError(c *Caller, id briarspring.WorkflowID, owner string) error {
--- a/admitter/caller_test.go
+++ b/admitter/caller_test.go
@@ -423,3 +423,41 @@
 		assert.Equal(t, want, owner)
 	}
 }
+
+// Guards against gangs that are accepted and wait for ever, since their organisation may
+// never use as much.
+func TestGangBeyondTheLimit(t *testing.T) {
+	amount := func(milliCPU, memoryMiB int64) briarspring.Resources {
+		return briarspring.NewResources(briarspring.ResourcesConfig{MilliCPU: milliCPU, MemoryMiB: memoryMiB})
+	}
+	for _, c := range []struct {
+		name    string
+		gang    bool
+		tasks   int
+		limit   briarspring.Resources
+		refused bool
+	}{
+		{"within the limit", true, 4, amount(4000, 0), false},
+		{"one task more", true, 4, amount(3000, 0), false},
+		{"more than one task more", true, 4, amount(2999, 0), true},
+		{"more memory", true, 4, amount(4000, 299), true},
+		{"without a limit", true, 4, amount(0, 0), false},
+		{"no gang", false, 4, amount(1, 0), false},
+		{"a single task", true, 1, amount(1, 0), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.catalogue.directory.Organisations = []briarspring.Organisation{{Name: "acme", Limit: c.limit}}
+			w := workflow("1")
+			w.Steps = []briarspring.Step{{Tasks: c.tasks, Gang: c.gang, Resources: amount(1000, 100)}}
+			writes := b.shared.writes
+			err := b.SubmitFor(t.Context(), b.mustIdentify(t, "closed", keyOfAcme), w)
+			if !c.refused {
+				require.NoError(t, err)
+				return
+			}
+			assertRefused(t, err)
+			assert.Equal(t, writes, b.shared.writes)
+		})
+	}
+}
