--- a/dispatcher/quota.go
+++ b/dispatcher/quota.go
@@ -123,6 +123,28 @@
 	return o.limit.IsZero() || d.quotaView(o).allows(s.spec().Resources, tasks)
 }
 
+// quotaTasks returns how many more tasks of a step the quota lets start, up to a number,
+// beside planned ones of its organisation.
+func (d *Dispatcher) quotaTasks(s *step, planned briarspring.Resources, most int) int {
+	o := s.job.organisation
+	switch {
+	case o.name == "":
+		return most
+	case !d.organisationsKnown:
+		return 0
+	case o.limit.IsZero():
+		return most
+	}
+	v := d.quotaView(o)
+	v.used = v.used.Add(planned)
+	n := 0
+	for n < most && v.allows(s.spec().Resources, 1) {
+		v.used = v.used.Add(s.spec().Resources)
+		n++
+	}
+	return n
+}
+
 // withinShare reports whether an organisation uses no more than its share, so that a
 // run of it that stops may start again.
 func (d *Dispatcher) withinShare(o *organisation) bool {
@@ -188,7 +210,8 @@
 }
 
 // holdForQuota counts and logs the waiting tasks of a step that the quota holds back,
-// unless there is no room for them either.
+// unless there is no room for them either. Those that more parts would not help are
+// logged alone.
 func (d *Dispatcher) holdForQuota(s *step) {
 	if !d.hasRoom(s) {
 		return
@@ -203,6 +226,10 @@
 		return
 	}
 	o := s.job.organisation
+	if !d.partsHelp(s) {
+		d.logQuotaWait(s, tasks)
+		return
+	}
 	if o.waiting.IsZero() {
 		d.held = append(d.held, o)
 	}
@@ -214,6 +241,20 @@
 	d.logQuotaWait(s, tasks)
 }
 
+// partsHelp reports whether a step that the quota holds back could start with more parts
+// of the limit. What unknown runs may use grows with the share, so without this a new
+// owner would request more and more parts that it can't use, and its tasks would neither
+// start nor be transferred until the leases of silent workers have ended.
+func (d *Dispatcher) partsHelp(s *step) bool {
+	tasks := 1
+	if s.spec().Gang {
+		tasks = s.unfinished
+	}
+	v := d.quotaView(s.job.organisation)
+	return !d.organisationsKnown || v.possible.IsZero() ||
+		v.possible.Fits(limitedDifference(v.whole, v.used.Add(s.spec().Resources.Times(int64(tasks)))))
+}
+
 // waitsForQuota reports whether in the last pass only the quota held back tasks of a
 // step.
 func (d *Dispatcher) waitsForQuota(s *step) bool { return s.heldInPass > 0 && s.heldInPass == d.passes }
