--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -43,8 +43,9 @@
 	failing    map[briarspring.TaskRef]int     // Number of runs that fail before one succeeds.
 	crashing   map[briarspring.WorkflowID]bool // Their first task crashes each worker that starts it.
 	hosts      map[string]*testHost
-	onStart    func(host string, run briarspring.RunRef) // Called when a worker has accepted a start; may be nil.
-	numbers    map[string]int                            // Of the machines that replaced others for good, by the name of the first one.
+	limit      func(organisation string) briarspring.Resources // Checked at each start; set before the first one, or nil.
+	onStart    func(host string, run briarspring.RunRef)       // Called when a worker has accepted a start; may be nil.
+	numbers    map[string]int                                  // Of the machines that replaced others for good, by the name of the first one.
 	hostStarts int
 	goroutines sync.WaitGroup
 }
@@ -118,7 +119,7 @@
 	}
 	f.pool = imitator.NewPool(imitator.PoolConfig{
 		Seed: seed, Latency: time.Millisecond, SimulateRun: f.runOutcome, Spec: f.spec, CrashesWorker: f.crashesWorker,
-		StopTime: 200 * time.Millisecond,
+		StopTime: 200 * time.Millisecond, Limit: f.limitOf,
 	})
 	f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
 	f.store.Put(briarspring.DirectoryStream, directoryRecord(t, 1))
@@ -152,6 +153,14 @@
 	return w.Steps[r.Task.Step].Estimate, briarspring.RunDone
 }
 
+// limitOf returns the limit that an organisation must stay within; zero is none.
+func (f *fleet) limitOf(organisation string) briarspring.Resources {
+	if f.limit == nil {
+		return briarspring.Resources{}
+	}
+	return f.limit(organisation)
+}
+
 func (f *fleet) crashesWorker(t briarspring.TaskRef) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/imitator/check.go
+++ b/imitator/check.go
@@ -34,6 +34,7 @@
 	p.checkEligible(s)
 	p.checkDuplicates(s)
 	p.checkCapacity(s)
+	p.checkQuota(s)
 	p.checkDependencies(s)
 	p.checkCrashes(s)
 	if !s.step.LongRunning && s.workflow.MaxAttempts > 0 && p.failures[run.Task] >= s.workflow.MaxAttempts {
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -30,6 +30,10 @@
 	// the tail latency of a serving image, as a fraction of the latter's
 	// target. If it is nil, no usage is reported.
 	Interference func(serving, bestEffort string) float64
+	// Limit returns the limit of an organisation that its runs on all workers must stay
+	// within; zero fields are no limit. It is called with the pool locked. If it is nil,
+	// no limit is checked.
+	Limit func(organisation string) briarspring.Resources
 	// StopTime is how long a stop takes at most. The run is listed until then.
 	StopTime time.Duration
 }
