admitter: refuse a gang beyond its organisation's limit

A gang whose tasks together exceed the limit by more than one task can never start, but was accepted and waited for ever. It is now refused with 503, without Retry-After unless the directory is too old to tell.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -177,8 +177,8 @@
 	return queue, path[len(queue.Prefix):], nil
 }
 
-// notFound returns err, or a *RefusedError if the directory may since have got what
-// was not found: another host may know it.
+// notFound returns err, or a *RefusedError with a time for a retry if the directory may
+// since have got what was not found: another host may know it.
 func (a *Admitter) notFound(err error) error {
 	if isFresh(a.config.DirectoryReading) {
 		return err
@@ -253,7 +253,11 @@
 	if len(w.Steps) > 0 {
 		w.DataCentre = a.choose(w)
 	}
-	if err := a.admit(q, w); err != nil {
+	err := a.admit(q, w)
+	if err == nil {
+		err = a.checkGangs(w)
+	}
+	if err != nil {
 		age, _ := a.config.Reading.Age()
 		a.config.Logger.Info("submission refused", c.logFields("workflow", w.ID, "queue", q.Name, "directory-version", version,
 			"state-age-ms", age.Milliseconds(), "error", err)...)
