--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -253,11 +253,7 @@
 	if len(w.Steps) > 0 {
 		w.DataCentre = a.choose(w)
 	}
-	err := a.admit(q, w)
-	if err == nil {
-		err = a.checkGangs(w)
-	}
-	if err != nil {
+	if err := a.admit(q, w); err != nil {
 		age, _ := a.config.Reading.Age()
 		a.config.Logger.Info("submission refused", c.logFields("workflow", w.ID, "queue", q.Name, "directory-version", version,
 			"state-age-ms", age.Milliseconds(), "error", err)...)
