What runs above a lowered limit in one data centre counts against the others

A limit is split by parts, so a data centre that uses more than its share of a lowered limit left the shares of the others as they were: with 40 of 50 cores in use in one, another one started 25 more (TestQuotaOfADirectoryThatChanges had these figures as right; it now expects 10). Owners record what they use beyond their share, others deduct it from what they start and give parts for it first. A target is also requested while nothing waits, if the use exceeds the share; the test that expected none is replaced by two.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -50,7 +50,7 @@
 // Target returns the parts that a data centre has to request to hold in all, or zero if
 // what it holds suffices.
 func Target(need Need, held int) int {
-	if need.Total <= held || !need.Waits {
+	if need.Total <= held || !need.Waits && need.InUse <= held {
 		return 0
 	}
 	return min(briarspring.QuotaParts, (need.Total+requestStep-1)/requestStep*requestStep)
@@ -77,6 +77,7 @@
 	Initial map[string]int // By data centre.
 	Held    map[string]int // By data centre, less what this owner has decided to give, plus that at its receivers.
 	Targets map[string]int // Requested totals of the other data centres.
+	Overuse map[string]int // What runs in other data centres use beyond what is held there.
 }
 
 // Allocator decides for the owner of one data centre and one organisation.
@@ -103,6 +104,12 @@
 			continue
 		}
 		held := f.Held[name]
+		// What runs there beyond its share, since the limit was lowered, comes before
+		// anything new here.
+		if n := min(f.Overuse[name], left-need.InUse); n > 0 {
+			give(given, name, n)
+			left, held = left-n, held+n
+		}
 		// Below its initial parts a receiver comes before the giver's own waiting tasks,
 		// as far as those need more than the giver's initial parts.
 		if below := min(f.Targets[name], f.Initial[name]) - held; below > 0 {
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -62,8 +62,12 @@
 	need := func(inUse, waiting int64) allocator.Need {
 		return allocator.NeedOf(limit, resources(inUse, inUse, 0), resources(waiting, waiting, 0))
 	}
-	t.Run("ask for nothing while nothing waits, also above the share", func(t *testing.T) {
-		assert.Zero(t, allocator.Target(need(60_000, 0), 5000))
+	t.Run("ask for nothing while nothing waits and the share isn't exceeded", func(t *testing.T) {
+		assert.Zero(t, allocator.Target(need(50_000, 0), 5000))
+		assert.Zero(t, allocator.Target(need(0, 0), 0))
+	})
+	t.Run("ask for what runs above the share, so that it isn't used elsewhere", func(t *testing.T) {
+		assert.Equal(t, 6000, allocator.Target(need(60_000, 0), 5000))
 	})
 	t.Run("ask for nothing that is held", func(t *testing.T) {
 		assert.Zero(t, allocator.Target(need(10_000, 10_000), 5000))
@@ -122,6 +126,10 @@
 	check("not what is in use above its initial parts", allocator.Need{InUse: 7000, Total: 9000}, pair(8000, 2000, 6000), 1000, 1000)
 	check("what its own tasks can't use, to one that is closer to its need", allocator.Need{InUse: 1000, Total: 6000, Waits: true}, pair(4000, 6000, 9000), 0, 3000)
 	check("not that to one that is further from its need", allocator.Need{InUse: 1000, Total: 7000}, pair(6000, 4000, 5000), 1000, 1000)
+	over := pair(5000, 5000, 8000)
+	over.Overuse = map[string]int{"viljandi": 3000}
+	check("what runs beyond its share elsewhere, though its own tasks wait", allocator.Need{InUse: 4000, Total: 9000, Waits: true}, over, 1000, 1000)
+	check("not what is in use for that", allocator.Need{InUse: 5000, Total: 9000, Waits: true}, over, 0, 0)
 	check("no surplus at once", allocator.Need{}, pair(8000, 2000, 0), 0, 0)
 }
 
--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -314,7 +314,7 @@
 func (d *Dispatcher) addWorker(p *roomPass, w *worker) {
 	view := roomWorker{free: w.free()}
 	var runs []*run
-	deaf := false // It does not carry out a stop.
+	unresponsive := false // It does not carry out a stop.
 	for _, r := range w.runs {
 		spec := r.task.step.spec()
 		switch {
@@ -323,7 +323,7 @@
 			view.free = view.free.Add(reservation(spec))
 		case r.stopping:
 			age := d.now - r.stoppedAt
-			deaf = deaf || age >= stopPatience
+			unresponsive = unresponsive || age >= stopPatience
 			if age < stopPatience {
 				view.coming = append(view.coming, comingRoom{in: max(soonest, stopTime-age), amount: spec.Resources})
 			}
@@ -337,7 +337,7 @@
 			}
 		}
 	}
-	if deaf {
+	if unresponsive {
 		runs = nil
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
--- a/encoder/quota.go
+++ b/encoder/quota.go
@@ -52,7 +52,7 @@
 
 // EncodeQuotaRequest encodes the parts that a data centre's waiting tasks need.
 func EncodeQuotaRequest(r briarspring.QuotaRequest) ([]byte, error) {
-	return proto.Marshal(&pb.QuotaRequest{Token: r.Token, Wanted: encodeParts(r.Parts)})
+	return proto.Marshal(&pb.QuotaRequest{Token: r.Token, Wanted: encodeParts(r.Parts), InUse: encodeParts(r.InUse)})
 }
 
 // DecodeQuotaRequest decodes the parts that a data centre's waiting tasks need; errors
@@ -62,7 +62,7 @@
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return briarspring.QuotaRequest{}, &MalformedError{Input: "quota request", Cause: err}
 	}
-	return briarspring.QuotaRequest{Token: m.Token, Parts: decodeParts(m.Wanted)}, nil
+	return briarspring.QuotaRequest{Token: m.Token, Parts: decodeParts(m.Wanted), InUse: decodeParts(m.InUse)}, nil
 }
 
 func encodeParts(parts map[string]int) []*pb.QuotaPart {
--- a/organisation.go
+++ b/organisation.go
@@ -66,5 +66,6 @@
 // difference, stays right while grants arrive.
 type QuotaRequest struct {
 	Token uint64         // Token of the data centre's owner.
+	InUse map[string]int // Parts that runs use, by organisation, where that is more than is held.
 	Parts map[string]int // By organisation.
 }
--- a/registrar/quota.go
+++ b/registrar/quota.go
@@ -131,6 +131,33 @@
 	return q.Parts
 }
 
+// QuotaOveruse returns the parts by organisation that runs in a data centre use beyond
+// what it holds, as its current owner has recorded: after a limit was lowered, until
+// enough of them have ended or enough parts were given.
+func (r *Registry) QuotaOveruse(dataCentre string) map[string]int {
+	q, ok := r.quota.requests[dataCentre]
+	if o := r.owners[dataCentre]; !ok || len(q.InUse) == 0 || o == nil || o.claim.Token == 0 || o.claim.Token != q.Token {
+		return nil
+	}
+	over := map[string]int{}
+	for organisation, n := range q.InUse {
+		if more := n - r.QuotaParts(dataCentre, organisation); more > 0 {
+			over[organisation] = more
+		}
+	}
+	return over
+}
+
+// QuotaInUse returns the parts in use that the current owner of a data centre has
+// recorded, see QuotaOveruse. The caller must not change the map.
+func (r *Registry) QuotaInUse(dataCentre string) map[string]int {
+	q, ok := r.quota.requests[dataCentre]
+	if o := r.owners[dataCentre]; !ok || o == nil || o.claim.Token != q.Token {
+		return nil
+	}
+	return q.InUse
+}
+
 // MovedQuota returns the organisations of which any data centre has given parts, sorted.
 func (r *Registry) MovedQuota() []string { return slices.Sorted(maps.Keys(r.quota.organisations)) }
 
@@ -170,6 +197,9 @@
 	}
 	// The newest record of the key counts, whatever it replaces, so that hosts which
 	// read only that one agree.
+	if len(r.quota.requests[rest].InUse) > 0 {
+		r.quota.revision++
+	}
 	delete(r.quota.requests, rest)
 	if len(rec.Value) == 0 {
 		return nil
@@ -178,7 +208,12 @@
 	if err != nil {
 		return err
 	}
-	maps.DeleteFunc(q.Parts, func(_ string, n int) bool { return n <= 0 || n > briarspring.QuotaParts })
+	impossible := func(_ string, n int) bool { return n <= 0 || n > briarspring.QuotaParts }
+	maps.DeleteFunc(q.Parts, impossible)
+	maps.DeleteFunc(q.InUse, impossible)
+	if len(q.InUse) > 0 {
+		r.quota.revision++
+	}
 	r.quota.requests[rest] = q
 	return nil
 }
--- a/steward/quota.go
+++ b/steward/quota.go
@@ -51,7 +51,8 @@
 	received   map[string]int            // Parts received so far, by organisation, for log lines.
 	lastNumber int                       // Number of the last grant.
 	targets    map[string]int            // To request at present.
-	requested  map[string]int            // As stored last.
+	inUse      map[string]int            // To record at present, see briarspring.QuotaRequest.
+	requested  map[string]int            // As stored last, see requestRows.
 
 	requestedAt, poolAt, deletedAt time.Duration // When such records were stored last.
 }
@@ -151,6 +152,7 @@
 	}
 	ow.logReceived(r)
 	b.revision, b.dirty, b.passed = r.QuotaRevision(), false, true
+	overuse := ow.overuse(r)
 	list := make([]dispatcher.Organisation, 0, len(b.known))
 	for _, name := range slices.Sorted(maps.Keys(b.known)) {
 		o := b.known[name]
@@ -159,6 +161,7 @@
 			o.Parts = ow.heldQuota(r, name)
 		}
 		b.known[name] = o
+		o.Parts = max(0, o.Parts-overuse[name])
 		list = append(list, o)
 	}
 	b.engine.SetOrganisations(now, list, b.version)
@@ -254,7 +257,7 @@
 		if len(r.QuotaPool()) == 0 {
 			return
 		}
-		b.targets = map[string]int{}
+		b.targets, b.inUse = map[string]int{}, map[string]int{}
 		requests := ow.otherRequests(r)
 		fresh, ok := ow.config.ReplicaFreshness.LastReadSent()
 		current := ok && now-fresh <= readGapAge
@@ -265,6 +268,9 @@
 			if target := allocator.Target(need, o.Parts); target > 0 {
 				b.targets[name] = target
 			}
+			if need.InUse > o.Parts {
+				b.inUse[name] = need.InUse
+			}
 			if current {
 				ow.giveQuota(now, r, name, need, requests[name])
 			}
@@ -275,6 +281,35 @@
 	return write
 }
 
+// overuse returns what runs in other data centres use beyond their shares, by
+// organisation. Each data centre does without that much: it has its share of a lowered
+// limit, but the limit is used up elsewhere until those runs end.
+func (ow *ownership) overuse(r *registrar.Registry) map[string]int {
+	sum := map[string]int{}
+	for _, dataCentre := range r.QuotaMembers() {
+		if dataCentre == ow.config.DataCentre {
+			continue
+		}
+		for organisation, n := range r.QuotaOveruse(dataCentre) {
+			sum[organisation] += n
+		}
+	}
+	return sum
+}
+
+// requestRows returns one map of what is requested and what is in use beyond the share, to
+// compare records.
+func requestRows(targets, inUse map[string]int) map[string]int {
+	rows := maps.Clone(targets)
+	if rows == nil {
+		rows = map[string]int{}
+	}
+	for name, n := range inUse {
+		rows[name+"/in-use"] = n
+	}
+	return rows
+}
+
 // otherRequests returns what other data centres request, by organisation.
 func (ow *ownership) otherRequests(r *registrar.Registry) map[string]map[string]int {
 	requests := map[string]map[string]int{}
@@ -310,8 +345,9 @@
 		a = allocator.New(ow.config.DataCentre)
 		b.allocators[organisation] = a
 	}
-	fleet := allocator.Fleet{Initial: map[string]int{}, Held: map[string]int{}, Targets: targets}
+	fleet := allocator.Fleet{Initial: map[string]int{}, Held: map[string]int{}, Targets: targets, Overuse: map[string]int{}}
 	for _, name := range r.QuotaMembers() {
+		fleet.Overuse[name] = r.QuotaOveruse(name)[organisation]
 		fleet.Initial[name] = allocator.Initial(r.QuotaPool(), name)
 		fleet.Held[name] = r.QuotaParts(name, organisation)
 	}
@@ -355,9 +391,9 @@
 			}
 			return
 		}
-		if targets := maps.Clone(b.targets); ow.requestDue(now, r) {
-			value, err := encoder.EncodeQuotaRequest(briarspring.QuotaRequest{Token: ow.claim.Token, Parts: targets})
-			add(registrar.QuotaRequestKey(ow.config.DataCentre), value, err, func(now time.Duration) { b.requested, b.requestedAt = targets, now })
+		if rows := requestRows(b.targets, b.inUse); ow.requestDue(now, r) {
+			value, err := encoder.EncodeQuotaRequest(briarspring.QuotaRequest{Token: ow.claim.Token, Parts: b.targets, InUse: b.inUse})
+			add(registrar.QuotaRequestKey(ow.config.DataCentre), value, err, func(now time.Duration) { b.requested, b.requestedAt = rows, now })
 		}
 		for _, name := range slices.Sorted(maps.Keys(b.decided)) {
 			d := b.decided[name]
@@ -392,8 +428,10 @@
 // and not read back yet counts as recorded.
 func (ow *ownership) requestDue(now time.Duration, r *registrar.Registry) bool {
 	b := &ow.quota
-	if now-b.requestedAt < minRequestInterval || !allocator.RequestChanged(r.QuotaRequest(ow.config.DataCentre), b.targets) {
+	recorded := requestRows(r.QuotaRequest(ow.config.DataCentre), r.QuotaInUse(ow.config.DataCentre))
+	rows := requestRows(b.targets, b.inUse)
+	if now-b.requestedAt < minRequestInterval || !allocator.RequestChanged(recorded, rows) {
 		return false
 	}
-	return now-b.requestedAt >= quotaReadTime || allocator.RequestChanged(b.requested, b.targets)
+	return now-b.requestedAt >= quotaReadTime || allocator.RequestChanged(b.requested, rows)
 }
--- a/steward/quota_test.go
+++ b/steward/quota_test.go
@@ -263,7 +263,21 @@
 		viljandi.submit(100, 1000)
 		time.Sleep(5 * time.Second)
 		assert.Equal(s.t, int64(40_000), tartu.inUse())
-		assert.Equal(s.t, int64(25_000), viljandi.inUse())
+		// What runs in tartu beyond its share of 25,000 is not to be had here.
+		assert.Equal(s.t, int64(10_000), viljandi.inUse())
+	})
+	inQuotaSystem(t, "what ends above a lowered limit is not replaced elsewhere", func(s *quotaSystem) {
+		tartu, viljandi := s.claim("tartu"), s.claim("viljandi")
+		time.Sleep(time.Second)
+		tartu.submit(50, 1000)
+		viljandi.submit(50, 1000)
+		time.Sleep(time.Second)
+		s.setLimit(quotaLimit / 2)
+		time.Sleep(time.Second)
+		viljandi.submit(50, 1000)
+		viljandi.finish()
+		time.Sleep(2 * time.Second)
+		assert.LessOrEqual(s.t, tartu.inUse()+viljandi.inUse(), int64(quotaLimit/2))
 	})
 	inQuotaSystem(t, "a removed organisation keeps its limit until it uses nothing", func(s *quotaSystem) {
 		tartu := s.claim("tartu")
