Room for urgent work is a setting, off by default

The setting urgent.make-room of the host's file turns the feature on; without it long-running tasks are kept as before.

--- a/assembler/host.go
+++ b/assembler/host.go
@@ -38,6 +38,7 @@
 	MaxRecordBytes int           // Largest record that the store takes, with its key; zero for no limit.
 	RevokeTime     time.Duration // Time after which no removed key may be accepted, even by a host that is cut off; zero for no limit.
 	FarMultiplier  float64       // See steward.Config.
+	MakeRoom       bool          // See steward.Config.
 	CallersAddr    string
 	ReadyAddr      string
 	MetricsAddr    string // Empty for none.
@@ -163,7 +164,7 @@
 	for _, name := range c.DataCentres {
 		owners[name] = steward.New(steward.Config{
 			Host: c.Host, HostDataCentre: c.DataCentre, DataCentre: name, DataCentres: c.DataCentres, Incarnation: incarnation, MilliCPU: c.MilliCPU,
-			Lease: min(defaultLease, c.MaxLease), MaxLease: c.MaxLease, FinalRetention: c.FinalRetention + finalRetentionMargin, FarMultiplier: c.FarMultiplier,
+			Lease: min(defaultLease, c.MaxLease), MaxLease: c.MaxLease, FinalRetention: c.FinalRetention + finalRetentionMargin, FarMultiplier: c.FarMultiplier, MakeRoom: c.MakeRoom,
 			Store: c.Store, Shared: shared, Workers: c.Workers, List: list, Catalogue: catalogue, Replica: replica,
 			ReplicaFreshness: sharedTracker, ListFreshness: workersTracker, NewPacer: func() steward.Pacer { return pacer.New() }, Now: c.Now, Logger: logger,
 			OnOwnership: func(on bool) {
--- a/cmd/briarspring/host.go
+++ b/cmd/briarspring/host.go
@@ -75,7 +75,7 @@
 		Host: s.Host, DataCentre: s.DataCentre, DataCentres: s.DataCentres, MilliCPU: s.MilliCPU,
 		MaxLease: s.MaxLease, StopTime: s.StopGrace - exitReserve, FinalRetention: s.FinalRetention, CallersAddr: s.CallersAddr, ReadyAddr: s.ReadyAddr,
 		MetricsAddr: c.metricsAddr(s), OperatorsAddr: s.OperatorsAddr, MaxRecordBytes: s.MaxRecordBytes,
-		RevokeTime: s.RevokeTime, FarMultiplier: s.FarMultiplier,
+		RevokeTime: s.RevokeTime, FarMultiplier: s.FarMultiplier, MakeRoom: s.MakeRoom,
 		Store:          platform.NewStore(platform.StoreConfig{Address: s.StoreAddr, WriteRate: s.WriteRate, ReadRate: s.ReadRate}),
 		Workers:        platform.NewWorkers(),
 		Decoder:        platform.Decoder{},
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -83,6 +83,7 @@
 	Lease          time.Duration
 	MaxLease       time.Duration // Longest lease that a worker grants.
 	FinalRetention time.Duration // How long finished workflows are remembered.
+	MakeRoom       bool          // Stop long-running tasks where urgent work would be late otherwise.
 	FarMultiplier  float64       // Factor of run times away from the rack of the data, or on several racks; zero if not known.
 
 	Store            Store
--- a/steward/takeover.go
+++ b/steward/takeover.go
@@ -97,7 +97,7 @@
 	ow.engine = dispatcher.New(now, dispatcher.Config{
 		DataCentre: ow.config.DataCentre, Token: ow.claim.Token, Lease: ow.config.Lease, MaxLease: ow.config.MaxLease,
 		Predecessor: ow.claim.Previous != 0, Yields: ow.claim.Yields, RecordedOnly: ow.claim.Yields, Pacer: ow.pacer, Logger: ow.logger,
-		PreviousToken: ow.claim.Previous, Registered: ow.registered, FarMultiplier: ow.config.FarMultiplier,
+		PreviousToken: ow.claim.Previous, Registered: ow.registered, FarMultiplier: ow.config.FarMultiplier, KeepLongRunning: !ow.config.MakeRoom,
 	})
 	ow.engine.ProgressWritten(ow.fencedAt)
 	ow.engine.SetOutOfService(now, ow.config.Catalogue.OutOfService(ow.config.DataCentre))
