--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -227,9 +227,12 @@
 func outcomeOf(err error) string {
 	var refused *RefusedError
 	var noKey *KeyError
+	var unanswered *briarspring.NoAnswerError // Its cause may be a refusal of a later try.
 	switch {
 	case err == nil:
 		return "accepted"
+	case errors.As(err, &unanswered):
+		return "doubt"
 	case errors.As(err, &refused), errors.As(err, &noKey):
 		return "refused"
 	}
