--- a/operator/workflow.go
+++ b/operator/workflow.go
@@ -224,10 +224,10 @@
 	var unknown *briarspring.NoAnswerError
 	var malformed *encoder.MalformedError
 	switch {
+	case errors.As(err, &unknown): // First: its cause may be a refusal of a later try.
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
 	case errors.As(err, &refused):
 		return refusalError(refused)
-	case errors.As(err, &unknown):
-		return connect.NewError(connect.CodeDeadlineExceeded, err)
 	case errors.As(err, &malformed):
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	}
