Log why a workflow counts as started, and what was said of those that wait

An owner's log didn't tell on what ground a workflow began to count as started, nor a host's what it answered to the question how many wait, or how old its copy of the shared state was.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -106,6 +106,7 @@
 type Admitter struct {
 	config   Config
 	outcomes *counter.Counter
+	counts   countAudit
 }
 
 // New returns an admitter.
@@ -116,7 +117,7 @@
 	if c.Digest == nil {
 		c.Digest = briarspring.DigestKey
 	}
-	return &Admitter{config: c, outcomes: counter.New()}
+	return &Admitter{config: c, outcomes: counter.New(), counts: newCountAudit()}
 }
 
 // Reachable reports whether the shared state was read within staleAge.
@@ -468,11 +469,3 @@
 	a.config.Logger.Info("cancellation", c.logFields("workflow", id, "phase", phase.String(), "stored", err == nil, "error", err)...)
 	return true, err
 }
-
-// UnstartedWorkflows returns the number of a queue's workflows without a
-// started task.
-func (a *Admitter) UnstartedWorkflows(q briarspring.Queue) int {
-	n := 0
-	a.config.Replica.View(func(r *registrar.Registry) { n = r.Waiting(q.Name) })
-	return n
-}
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -206,7 +206,7 @@
 	j.newEnds = append(j.newEnds, newEnd{worker: w.id, end: e})
 	r := w.runs[e.Run]
 	t.lastRun = max(t.lastRun, e.Run.Run)
-	j.begun = true
+	d.noteStarted(t, startEnded, e.Run.Run, w.id)
 	d.markDirty(j)
 	level := hclog.Debug
 	if e.End != briarspring.RunDone && (r == nil || !r.stopping) {
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -20,7 +20,7 @@
 	tasks             []*task            // Tasks of all steps, by position.
 	followers         [][]int32          // For each step of an occurrence, the steps that depend on it.
 	unfinished        int                // Tasks that are not done.
-	begun             bool               // A task has run.
+	begun             startSource        // How the owner knows that a task has started; zero if none has.
 	failing           map[*task]struct{} // Tasks with failed runs or under suspicion.
 	workLeft          []int64            // Of each occurrence, see unfinishedWork; negative if it has to be computed.
 	cancelled         bool
@@ -202,7 +202,6 @@
 	}
 	t.runs = append(t.runs, r)
 	t.step.job.live++
-	t.step.job.begun = true
 	t.lastRun = max(t.lastRun, r.ref.Run)
 	t.step.spread[r.worker]++
 }
@@ -267,7 +266,9 @@
 	t.suspicion = p.Suspicion
 	t.lastRun = p.Run
 	t.checkpoint = p.Checkpoint
-	j.begun = j.begun || t.lastRun > 0
+	if t.lastRun > 0 {
+		d.noteStarted(t, sourceOf(origin), p.Run, p.Worker)
+	}
 	if t.suspicion > 0 || len(t.failedRuns) > 0 {
 		j.failing[t] = struct{}{}
 	}
@@ -315,7 +316,6 @@
 	}
 	j := t.step.job
 	j.unfinished--
-	j.begun = true
 	j.workLeft[t.step.occurrence] = -1
 }
 
@@ -380,7 +380,7 @@
 		return
 	}
 	phase := j.phase
-	if phase == briarspring.PhaseQueued && j.begun {
+	if phase == briarspring.PhaseQueued && j.begun != startUnknown {
 		phase = briarspring.PhaseRunning
 	}
 	for t := range j.failing {
