A workflow counts as started by what its workers say, not by an order

Cause: the dispatcher took its own order for the start. A run is attached to its task when it is ordered, so that its room stays reserved; the same line marked the workflow as begun, for ever. The order may be refused, get no answer, or be dropped before it is sent. Progress records and transfers held the number of the last run, and new owners and other data centres took that for a run as well.

Now a workflow is begun when a worker accepts a start, lists a run, or lists an end. Records say whether that has been seen (started); a number alone, which must still rise with each order, says nothing. What an order reserves is kept as before. The phase is published when an answer changes it, not with the next pass.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -75,7 +75,7 @@
 	return (j.cancelled || j.finalPhaseStored || j.transferredAway) && j.live == 0
 }
 
-// progress returns the progress records of the tasks that have run.
+// progress returns the progress records of the tasks of which a start was ordered.
 func (j *job) progress() []briarspring.TaskProgress {
 	var list []briarspring.TaskProgress
 	for _, t := range j.tasks {
@@ -83,7 +83,8 @@
 			continue
 		}
 		p := briarspring.TaskProgress{
-			Position: t.position, Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Suspicion: t.suspicion, Run: t.lastRun, Checkpoint: t.checkpoint,
+			Position: t.position, Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Suspicion: t.suspicion,
+			Run: t.lastRun, Started: t.started, Checkpoint: t.checkpoint,
 		}
 		if t.done {
 			p.Checkpoint = ""
@@ -137,9 +138,13 @@
 	}
 }
 
+// PhaseChanged reports whether a phase changed since the last call of TakePhases.
+func (d *Dispatcher) PhaseChanged() bool { return d.phaseChanged }
+
 // TakePhases returns the records of the phases that changed, for the shared
 // stream.
 func (d *Dispatcher) TakePhases() []briarspring.KeyedRecord {
+	d.phaseChanged = false
 	var list []briarspring.KeyedRecord
 	for id, j := range d.jobs {
 		if j.phase == j.publishedPhase || j.cancelled || j.transferredAway {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -127,6 +127,7 @@
 	unsentStarts     []*run                          // Starts that are sent once they are stored.
 	dirty            map[briarspring.WorkflowID]*job // Jobs whose progress records have to be stored.
 	needsPlan        bool                            // Something changed since the last plan.
+	phaseChanged     bool                            // A phase changed since TakePhases.
 	ratios           runTimeRatios
 	meanSize         map[string]float64 // Mean declared work of a workflow by queue.
 	now              time.Duration
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -279,6 +279,9 @@
 		r.state = runAlive
 		r.startAnsweredAt = d.now
 	}
+	if d.noteStarted(r.task, startListed, listed.Run.Run, w.id) {
+		d.updatePhase(r.task.step.job)
+	}
 	r.unreported, r.missingSince = false, 0
 	if !r.listed {
 		r.listed = true
@@ -332,7 +335,6 @@
 	d.addRun(r)
 	d.markDirty(t.step.job)
 	d.stopDuplicates(t)
-	d.updatePhase(t.step.job)
 	return r
 }
 
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -64,8 +64,9 @@
 	transferring bool   // Another transfer is on its way.
 	done         bool
 	failedRuns   []uint32
-	suspicion    int // That it crashes its workers; see crash.go.
-	lastRun      uint32
+	suspicion    int    // That it crashes its workers; see crash.go.
+	lastRun      uint32 // Highest run number used, also by starts that no worker carried out.
+	started      bool   // A worker has carried out a start.
 	checkpoint   string
 	runs         []*run
 	past         []pastRun // By run number, see maxPastRuns.
@@ -254,7 +255,7 @@
 	d.updatePhase(j)
 }
 
-// restoreProgress restores the recorded state of a task that has run before.
+// restoreProgress restores the recorded state of a task of which a start was ordered before.
 func (d *Dispatcher) restoreProgress(j *job, p briarspring.TaskProgress, origin runOrigin) {
 	if p.Position >= len(j.tasks) {
 		d.logger.Warn("progress record of a task that does not exist", "workflow", j.workflow.ID, "position", p.Position)
@@ -266,8 +267,8 @@
 	t.suspicion = p.Suspicion
 	t.lastRun = p.Run
 	t.checkpoint = p.Checkpoint
-	if t.lastRun > 0 {
-		d.noteStarted(t, sourceOf(origin), p.Run, p.Worker)
+	if p.Started {
+		d.noteStarted(t, recordedSource(origin), p.Run, p.Worker)
 	}
 	if t.suspicion > 0 || len(t.failedRuns) > 0 {
 		j.failing[t] = struct{}{}
@@ -397,6 +398,7 @@
 	}
 	j.phase = phase
 	d.needsPlan = true
+	d.phaseChanged = true
 	if phase.Final() {
 		d.logger.Info("workflow finished", "workflow", j.workflow.ID, "phase", phase.String(), "age-ms", (d.now - j.submitted).Milliseconds(),
 			"objective-ms", j.objective.Milliseconds())
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -19,6 +19,9 @@
 	if w == nil {
 		return
 	}
+	if o.Kind == OrderStart && v == briarspring.VerdictDone {
+		d.noteAccepted(w, o.Start.Run)
+	}
 	r := w.runs[o.Run()]
 	if r == nil {
 		return
@@ -109,7 +112,6 @@
 		d.countersOf(o).Starts++
 	}
 	d.markDirty(j)
-	d.updatePhase(j)
 	d.logger.Info("start", "workflow", j.workflow.ID, "step", t.step.number, "index", t.index, "run", r.ref.Run,
 		"worker", w.id, "waited-ms", waited.Milliseconds(), "free", w.free().String(), "checkpoint", t.checkpoint != "", "suspicion", t.suspicion)
 	if t.isolated() {
--- a/dispatcher/transfer.go
+++ b/dispatcher/transfer.go
@@ -172,7 +172,8 @@
 	for _, t := range tasks {
 		t.transferring = true
 		tr.Content.Tasks = append(tr.Content.Tasks, briarspring.TaskProgress{
-			Position: t.position, Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Suspicion: t.suspicion, Run: t.lastRun, Checkpoint: t.checkpoint,
+			Position: t.position, Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Suspicion: t.suspicion,
+			Run: t.lastRun, Started: t.started, Checkpoint: t.checkpoint,
 		})
 	}
 	d.logger.Info("transferring tasks to another data centre", "workflow", j.workflow.ID, "tasks", len(tasks), "to", to,
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -274,7 +274,6 @@
 	r.worker.runs[r.ref] = r
 	r.bestEffortCPU = r.worker.reserve(r.task.step.spec())
 	r.task.attachRun(r)
-	d.noteStarted(r.task, sourceOf(r.origin), r.ref.Run, r.worker.id)
 	r.task.step.job.organisation.countRun(r, 1)
 	r.worker.runAdded(r)
 	d.needsPlan = true
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -223,14 +223,14 @@
 	FailedRunBytes    = 3
 )
 
-// EncodeRunProgress encodes the progress of those tasks of a workflow that have
-// run.
+// EncodeRunProgress encodes the progress of those tasks of a workflow of which a start
+// was ordered.
 func EncodeRunProgress(tasks []briarspring.TaskProgress) ([]byte, error) {
 	return proto.Marshal(&pb.WorkflowProgress{Tasks: encodeTaskProgress(tasks)})
 }
 
-// DecodeRunProgress decodes the progress of those tasks of a workflow that have
-// run; errors are *MalformedError.
+// DecodeRunProgress decodes the progress of those tasks of a workflow of which a start
+// was ordered; errors are *MalformedError.
 func DecodeRunProgress(data []byte) ([]briarspring.TaskProgress, error) {
 	var m pb.WorkflowProgress
 	if err := proto.Unmarshal(data, &m); err != nil {
@@ -260,7 +260,7 @@
 	for _, t := range tasks {
 		list = append(list, &pb.TaskProgress{
 			Position: int32(t.Position), Done: t.Done, FailedRuns: t.FailedRuns, Run: t.Run,
-			Checkpoint: t.Checkpoint, Worker: t.Worker, Suspicion: uint32(t.Suspicion),
+			Checkpoint: t.Checkpoint, Worker: t.Worker, Suspicion: uint32(t.Suspicion), Started: t.Started,
 		})
 	}
 	return list
@@ -274,7 +274,7 @@
 		}
 		tasks = append(tasks, briarspring.TaskProgress{
 			Position: int(t.Position), Done: t.Done, FailedRuns: t.FailedRuns, Run: t.Run,
-			Checkpoint: t.Checkpoint, Worker: t.Worker, Suspicion: int(t.Suspicion),
+			Checkpoint: t.Checkpoint, Worker: t.Worker, Suspicion: int(t.Suspicion), Started: t.Started,
 		})
 	}
 	return tasks, nil
--- a/steward/term.go
+++ b/steward/term.go
@@ -348,7 +348,11 @@
 	}
 	ow.mu.Lock()
 	ow.engine.HandleVerdict(ow.config.Now(), o, verdict)
+	phaseChanged := ow.engine.PhaseChanged()
 	ow.mu.Unlock()
+	if phaseChanged {
+		notify(ow.phases)
+	}
 	if verdict != briarspring.VerdictDone {
 		notify(ow.wake)
 	}
--- a/stream.go
+++ b/stream.go
@@ -70,13 +70,14 @@
 	MilliCPU    int   // Processors of the host in thousandths of a core.
 }
 
-// TaskProgress is the state of a task that has run at least once.
+// TaskProgress is the state of a task of which a start was ordered.
 type TaskProgress struct {
 	Position   int // Index of the task across all steps.
 	Done       bool
 	FailedRuns []uint32 // Without duplicates, even if the end of a run was reported repeatedly.
 	Suspicion  int      // That the task crashes its workers; zero for none.
-	Run        uint32   // Highest run number used so far.
+	Run        uint32   // Highest run number used so far, also by starts that no worker carried out.
+	Started    bool     // A worker has carried out a start.
 	Checkpoint string
 	Worker     string // Worker of the live run; empty if there is none.
 }
