A workflow counts as started by an end that another data centre recorded

A task whose run failed after the task had moved on: the data centre where it had been records the end for the one that has it. There the failure was counted, but the workflow went on counting as waiting until its next start; only done runs were taken as a sign that it had started. Before orders stopped counting as starts this was hidden wherever a start had been ordered. TestPhaseAfterAnEndElsewhere failed before.

--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -114,12 +114,12 @@
 			continue
 		}
 		t := j.tasks[position]
+		d.noteStarted(t, startEnded, p.Run, "")
 		for _, run := range p.FailedRuns {
 			t.countFailure(run)
 		}
 		if p.Done && !t.done {
 			d.logger.Info("task is done elsewhere", "workflow", id, "step", t.step.number, "index", t.index, "run", p.Run, "runs", len(t.runs))
-			d.noteStarted(t, startEnded, p.Run, "")
 			t.markDone(now)
 			for _, r := range t.runs {
 				d.stop(r, "the task is done elsewhere")
--- a/dispatcher/started_test.go
+++ b/dispatcher/started_test.go
@@ -175,3 +175,12 @@
 		assert.Empty(t, there.phases())
 	})
 }
+
+// Guards against a workflow that counts as not started where it is now, though a failed run
+// of it is recorded by the data centre where it was.
+func TestPhaseAfterAnEndElsewhere(t *testing.T) {
+	s := newFixture(t, dispatcher.Config{Token: 1}, 0)
+	s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+	s.d.ApplyEnds(s.now, "a", map[int]briarspring.TaskProgress{0: {Run: 1, FailedRuns: []uint32{1}}})
+	assertRunningPhase(t, s)
+}
