Histories check what hosts count as waiting

No host that can read the log may count fewer workflows than have waited for 5 s without a start, by the workers' own account.

--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -32,6 +32,7 @@
 	multiHost map[briarspring.WorkflowID]bool // Submitted at several hosts, accepted by at least one.
 	down      map[string]bool                 // Workers that crashed.
 	out       string                          // Data centre that is out of service.
+	counts    *countWatch
 	log       []string
 }
 
@@ -167,7 +168,9 @@
 		if h.cancelled[id] {
 			return
 		}
+		h.mu.Lock()
 		h.cancelled[id] = true
+		h.mu.Unlock()
 		host := h.randomHost()
 		ctx, cancel := context.WithTimeout(h.t.Context(), submitTimeout)
 		defer cancel()
@@ -236,6 +239,7 @@
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.multiHost[id] = true
+			h.counts.accept(id)
 			return
 		}
 		time.Sleep(submitPause)
@@ -337,9 +341,7 @@
 	h.mu.Unlock()
 	ok := h.submitRecurring(id, briarspring.Recurrence{}, s)
 	h.logf("submit %s accepted %t, crashes workers", id, ok)
-	if ok {
-		h.accepted = append(h.accepted, id)
-	}
+	h.noteAccepted(id, ok)
 }
 
 func (h *history) submitRandom() {
@@ -374,9 +376,18 @@
 	}
 	ok := h.submitRecurring(id, recurrence, steps...)
 	h.logf("submit %s accepted %t long-running %t occurrences %d", id, ok, steps[0].LongRunning, recurrence.Times)
-	if ok {
-		h.accepted = append(h.accepted, id)
+	h.noteAccepted(id, ok)
+}
+
+// noteAccepted records the outcome of a submission.
+func (h *history) noteAccepted(id briarspring.WorkflowID, ok bool) {
+	if !ok {
+		return
 	}
+	h.accepted = append(h.accepted, id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counts.accept(id)
 }
 
 // heal ends every failure and waits for recovery.
@@ -438,8 +449,11 @@
 	h := &history{
 		fleet: newFleet(t, seed, tartu, viljandi), random: rand.New(rand.NewPCG(seed, 7)), kinds: kinds,
 		cancelled: map[briarspring.WorkflowID]bool{}, multiHost: map[briarspring.WorkflowID]bool{}, down: map[string]bool{},
+		counts: newCountWatch(),
 	}
 	defer h.end()
+	defer h.counts.end()
+	h.goroutines.Go(h.watchCounts)
 	names := actionNames
 	if kinds != nil {
 		h.store.SetPageSize(smallPageSize)
--- a/assembler/waiting_test.go
+++ b/assembler/waiting_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -78,3 +80,62 @@
 		assertNoViolations(t, f)
 	}, tartu)
 }
+
+// countWatch checks what the hosts of a history count.
+type countWatch struct {
+	acceptedAt map[briarspring.WorkflowID]time.Time
+	done       chan struct{}
+}
+
+func newCountWatch() *countWatch {
+	return &countWatch{acceptedAt: map[briarspring.WorkflowID]time.Time{}, done: make(chan struct{})}
+}
+
+func (c *countWatch) accept(id briarspring.WorkflowID) {
+	if _, ok := c.acceptedAt[id]; !ok {
+		c.acceptedAt[id] = time.Now()
+	}
+}
+
+func (c *countWatch) end() { close(c.done) }
+
+// watchCounts checks until the end of a history that no host that can read the log counts
+// fewer workflows than have waited for countAfter.
+func (h *history) watchCounts() {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.counts.done:
+			return
+		case <-ticker.C:
+		}
+		unstarted := h.unstarted()
+		h.mu.Lock()
+		hosts := slices.Collect(maps.Values(h.hosts))
+		h.mu.Unlock()
+		for _, host := range hosts {
+			if !host.intake.Reachable() {
+				continue
+			}
+			if n := host.intake.UnstartedWorkflows(testQueue); n < len(unstarted) {
+				assert.Fail(h.t, "count too low", "%s at %s: %d workflows are said to wait; %v have waited for %s", host.caller, time.Since(h.began), n, unstarted, countAfter)
+				return
+			}
+		}
+	}
+}
+
+// unstarted returns the workflows that were accepted countAfter ago, and of which no worker
+// has started a task. Those that recur may not be due.
+func (h *history) unstarted() []briarspring.WorkflowID {
+	h.mu.Lock()
+	var list []briarspring.WorkflowID
+	for id, at := range h.counts.acceptedAt {
+		if time.Since(at) > countAfter && !h.cancelled[id] && h.workflows[id].Recurrence.Times == 0 {
+			list = append(list, id)
+		}
+	}
+	h.mu.Unlock()
+	return slices.DeleteFunc(list, h.pool.Started)
+}
