Owners allow for the longest lease of workers that have restarted under their IDs

Its first run went on under a lease that ended 10.7 s after its worker's start, where the owner had asked for 7.1 s at most.

Cause: a worker that is back under its ID carries out calls that were meant for its earlier process. Their deadlines are times by that process's clock, far ahead of the present one's, and give the longest lease. The owner that saw the restart allowed for that at the first answer; its successor, which could not hear the worker, took the lease to be as long as owners ask for.

Now the record of a worker says that its process is young and not the first one under its ID, and a new owner waits for the longest lease of such a worker if it is silent. A worker that has restarted is used on while this isn't stored yet.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -98,6 +98,15 @@
 	hosts   int             // In each data centre.
 	cpu     func(i int) int // Millicores of a data centre's host.
 	revoke  time.Duration   // Time of revocation in the hosts' settings; zero for none.
+	lease   time.Duration   // Longest lease that workers grant; zero for 6 s.
+}
+
+// maxLease returns the longest lease that workers grant.
+func (s fleetSize) maxLease() time.Duration {
+	if s.lease == 0 {
+		return 6 * time.Second
+	}
+	return s.lease
 }
 
 var smallFleet = fleetSize{workers: workersPerCentre, hosts: hostsPerCentre, cpu: func(int) int { return 160 }}
@@ -119,7 +128,7 @@
 	}
 	f.pool = imitator.NewPool(imitator.PoolConfig{
 		Seed: seed, Latency: time.Millisecond, SimulateRun: f.runOutcome, Spec: f.spec, CrashesWorker: f.crashesWorker,
-		StopTime: 200 * time.Millisecond, Limit: f.limitOf,
+		StopTime: 200 * time.Millisecond, Limit: f.limitOf, MaxLease: size.maxLease(),
 	})
 	f.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
 	f.store.Put(briarspring.DirectoryStream, directoryRecord(t, 1))
@@ -190,7 +199,7 @@
 	}
 	var l *launcher.Launcher
 	l, h.intake = assembler.NewHostCore(assembler.HostConfig{
-		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: f.size.cpu(number), MaxLease: 6 * time.Second, StopTime: 3 * time.Second,
+		Host: name, DataCentre: centre, DataCentres: f.centres, MilliCPU: f.size.cpu(number), MaxLease: f.size.maxLease(), StopTime: 3 * time.Second,
 		FinalRetention: 120 * time.Second, MaxRecordBytes: imitator.MaxRecordBytes, RevokeTime: f.size.revoke,
 		Store: f.store.Client(h.caller), Workers: &watchedWorkers{PoolClient: f.pool.Client(h.caller), fleet: f, host: name}, Decoder: imitator.Decoder{},
 		Now: func() time.Duration { return time.Since(f.began) }, Logger: f.logger(h),
--- a/assembler/history_test.go
+++ b/assembler/history_test.go
@@ -139,6 +139,14 @@
 	"store-gone": func(h *history) {
 		h.storeFaultsFor(imitator.KeyedFaults{Silent: true}, 5*time.Second+h.randomDuration(7*time.Second))
 	},
+	"hold-calls": func(h *history) {
+		h.pool.SetHeldCalls(true)
+		length := h.randomDuration(8 * time.Second)
+		h.goroutines.Go(func() {
+			time.Sleep(length)
+			h.pool.SetHeldCalls(false)
+		})
+	},
 	"hush-progress": func(h *history) { h.hush(briarspring.ProgressStream(h.centres[h.random.IntN(len(h.centres))])) },
 	"hush-shared":   func(h *history) { h.hush(briarspring.SharedStream) },
 	"withhold-entries": func(h *history) {
@@ -188,7 +196,7 @@
 // allActionNames also has the actions that were added later. The seeds in
 // regressions run with actionNames, so that they still choose the same actions.
 var allActionNames = append(slices.Clone(actionNames), "power", "replace-host", "replace-worker", "cut-links", "lost-orders", "late-ends", "withhold-entry",
-	"store-gone", "hush-progress", "hush-shared", "withhold-entries", "kill-owner", "kill-owner")
+	"store-gone", "hush-progress", "hush-shared", "withhold-entries", "kill-owner", "kill-owner", "hold-calls")
 
 const (
 	// powerFailureSubmissions workflows are submitted, at most maxSubmissionGap
@@ -379,23 +387,13 @@
 	h.noteAccepted(id, ok)
 }
 
-// noteAccepted records the outcome of a submission.
-func (h *history) noteAccepted(id briarspring.WorkflowID, ok bool) {
-	if !ok {
-		return
-	}
-	h.accepted = append(h.accepted, id)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.counts.accept(id)
-}
-
 // heal ends every failure and waits for recovery.
 func (h *history) heal() {
 	h.returnToService()
 	h.pool.SetLateOrderShare(0)
 	h.pool.SetLostAnswerShare(0)
 	h.pool.SetLateEnds(0)
+	h.pool.SetHeldCalls(false)
 	h.store.SetFaults(imitator.KeyedFaults{Latency: 5 * time.Millisecond})
 	time.Sleep(40 * time.Second)
 }
--- a/assembler/waiting_test.go
+++ b/assembler/waiting_test.go
@@ -97,6 +97,17 @@
 	}
 }
 
+// noteAccepted records the outcome of a submission.
+func (h *history) noteAccepted(id briarspring.WorkflowID, ok bool) {
+	if !ok {
+		return
+	}
+	h.accepted = append(h.accepted, id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counts.accept(id)
+}
+
 func (c *countWatch) end() { close(c.done) }
 
 // watchCounts checks until the end of a history that no host that can read the log counts
--- a/dispatcher/authority.go
+++ b/dispatcher/authority.go
@@ -70,11 +70,11 @@
 	}
 }
 
-// predecessorLeaseEnd returns the time at which all leases given by earlier owners
-// have certainly ended, or false while that is not known. They end when the owners
+// predecessorLeaseEnd returns the time at which all leases of a length given by earlier
+// owners have certainly ended, or false while that is not known. They end when the owners
 // are known to be gone, or when those that are not have yielded. One that is known to be
 // gone only because a later process has its name must have yielded as well.
-func (d *Dispatcher) predecessorLeaseEnd() (time.Duration, bool) {
+func (d *Dispatcher) predecessorLeaseEnd(lease time.Duration) (time.Duration, bool) {
 	end, known := d.predecessorsGoneAt, d.predecessorsGone
 	if d.predecessorsYield && d.mostFencedAt > 0 {
 		yielded := max(d.mostFencedAt, d.startedAt) + authorityTime + leaseMargin
@@ -85,7 +85,7 @@
 			end, known = yielded, true
 		}
 	}
-	return end + time.Duration(float64(d.config.Lease)*(1+clockSkew)) + leaseMargin, known
+	return end + time.Duration(float64(lease)*(1+clockSkew)) + leaseMargin, known
 }
 
 // Silent returns the workers that do not answer, each with the time left until
@@ -113,5 +113,8 @@
 	if at, ok := d.silentLeaseEnds[w.id]; ok {
 		return at, true
 	}
-	return d.predecessorLeaseEnd()
+	if w.restarted {
+		return d.predecessorLeaseEnd(d.config.MaxLease)
+	}
+	return d.predecessorLeaseEnd(d.config.Lease)
 }
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -111,6 +111,8 @@
 		d.logger.Info("worker accepted this owner's token", "worker", w.id, "token", d.config.Token, "running", len(reply.Running), "ended", len(reply.Ended))
 		d.needsPlan = true
 		w.fencedAt, w.heardSince = now, reply.Clock
+		// It may have restarted under an earlier owner.
+		w.restarted = w.restarted || d.config.Predecessor
 	}
 	w.fenced = true
 	w.clock = reply.Clock
@@ -120,6 +122,7 @@
 		// An earlier owner may have renewed the lease a moment ago.
 		w.leaseUntil = max(w.leaseUntil, reply.Clock+d.config.Lease+leaseMargin)
 	}
+	d.boundFormerCalls(w)
 	if now-w.answeredAt >= silenceLimit {
 		d.needsPlan = true
 	}
@@ -176,6 +179,7 @@
 		// Its clock counts from its start and may be slow.
 		w.bornAfter = sent - time.Duration(float64(reply.Clock)*(1+clockSkew)) - leaseMargin
 	}
+	w.restarted = w.restarted || !first
 	w.incarnation = reply.StartedAt
 	w.lastEndSeen = 0
 	w.lastEndStored = 0
--- a/dispatcher/inventory.go
+++ b/dispatcher/inventory.go
@@ -84,7 +84,7 @@
 func (d *Dispatcher) AddRecordedWorkers(list []briarspring.KnownWorker) {
 	for _, k := range list {
 		w := d.addKnownWorker(k)
-		w.record, w.recorded = k, true
+		w.record, w.recorded, w.restarted = k, true, k.Restarted
 	}
 }
 
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -21,9 +21,11 @@
 		return
 	}
 	for _, w := range d.workersByID {
-		switch k, asked := knownWorker(w.entry), d.unasked(w) == ""; {
+		switch k, asked := w.known(), d.unasked(w) == ""; {
 		case asked && w.record != k:
-			w.record, w.recorded = k, false
+			// A worker that has restarted is used on, also while nothing can be stored.
+			w.recorded = w.recorded && w.record.Names(k)
+			w.record = k
 			value, err := encoder.EncodeKnownWorker(k)
 			if err != nil {
 				d.logger.Error("worker can't be encoded", "worker", w.id, "error", err)
@@ -38,9 +40,9 @@
 	}
 }
 
-// knownWorker returns the record of a worker with an entry.
-func knownWorker(e briarspring.WorkerEntry) briarspring.KnownWorker {
-	return briarspring.KnownWorker{ID: e.ID, Address: e.Address, Service: e.Service}
+// known returns the record that a worker should have.
+func (w *worker) known() briarspring.KnownWorker {
+	return briarspring.KnownWorker{ID: w.entry.ID, Address: w.entry.Address, Service: w.entry.Service, Restarted: w.restarted}
 }
 
 // workersStored records that a batch with records of workers is in the log.
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -52,6 +52,7 @@
 	heardSince    time.Duration // The worker's clock in its first answer in its present incarnation.
 	reported      bool          // Has listed everything that runs or has ended under earlier owners.
 	bornAfter     time.Duration // Earliest start of its present incarnation; zero for the first one known.
+	restarted     bool          // A call that was meant for its last incarnation may have extended its lease.
 	acceptedAt    time.Duration // When the last renewal that it accepted was sent.
 	startedSince  time.Duration // When its present incarnation first answered.
 	lastEndSeen   uint64        // Highest number of an end that was processed.
@@ -156,7 +157,7 @@
 	w.listed = true
 	w.unlistedAt = 0
 	w.entry = e
-	w.recorded = w.recorded && w.record == knownWorker(e) || !d.config.RecordedOnly
+	w.recorded = w.recorded && w.record.Names(w.known()) || !d.config.RecordedOnly
 	d.updateLeaveTime(w)
 	return joined
 }
--- a/encoder/inventory.go
+++ b/encoder/inventory.go
@@ -57,9 +57,9 @@
 }
 
 func knownWorkerMessage(w briarspring.KnownWorker) *pb.KnownWorker {
-	return &pb.KnownWorker{Id: w.ID, Address: w.Address, Service: w.Service}
+	return &pb.KnownWorker{Id: w.ID, Address: w.Address, Service: w.Service, Restarted: w.Restarted}
 }
 
 func knownWorkerOf(m *pb.KnownWorker) briarspring.KnownWorker {
-	return briarspring.KnownWorker{ID: m.Id, Address: m.Address, Service: m.Service}
+	return briarspring.KnownWorker{ID: m.Id, Address: m.Address, Service: m.Service, Restarted: m.Restarted}
 }
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -36,6 +36,8 @@
 	Limit func(organisation string) briarspring.Resources
 	// StopTime is how long a stop takes at most. The run is listed until then.
 	StopTime time.Duration
+	// MaxLease is the longest lease that a worker grants; zero for defaultMaxLease.
+	MaxLease time.Duration
 }
 
 // defaultMaxListedEnds is the number of ends in a reply to a lease renewal, as on
@@ -63,6 +65,7 @@
 	counts         PoolCounts
 	maxListedEnds  int
 	lateEnds       time.Duration // How long after its run an end is listed, at most.
+	heldCalls      bool          // Calls to a worker that is down reach its next process.
 }
 
 // taskStart is the last start of a task.
@@ -100,6 +103,9 @@
 
 // NewPool returns a pool without workers.
 func NewPool(c PoolConfig) *Pool {
+	if c.MaxLease == 0 {
+		c.MaxLease = defaultMaxLease
+	}
 	return &Pool{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, c.Seed+1)), workers: map[string]*poolWorker{},
 		cut: map[[2]string]bool{}, acknowledgedAt: map[briarspring.TaskRef]time.Time{}, lastStart: map[briarspring.TaskRef]taskStart{}, failures: map[briarspring.TaskRef]int{},
@@ -224,12 +230,14 @@
 
 func (w *poolWorker) clock() time.Duration { return time.Since(w.startedAt) }
 
-// maxLease is the longest lease that a worker grants.
-const maxLease = 6 * time.Second
+// defaultMaxLease is the longest lease that a worker grants, unless the configuration has
+// another one.
+const defaultMaxLease = 6 * time.Second
 
 // connect waits for the latency and returns the worker. When the worker is down
-// or cut off, it waits until ctx ends and returns a *NoAnswerError. When another one
-// has its address, it returns an *OrderRefusedError.
+// or cut off, it waits until ctx ends and returns a *NoAnswerError, unless calls are held
+// for the worker's next process. When another one has its address, it returns an
+// *OrderRefusedError.
 func (c *PoolClient) connect(ctx context.Context, id string) (*poolWorker, error) {
 	if err := sleeper.For(ctx, c.pool.config.Latency); err != nil {
 		return nil, &briarspring.NoAnswerError{Call: "order", Cause: err}
@@ -243,7 +251,7 @@
 	if replaced {
 		return nil, refused(briarspring.VerdictOtherIncarnation)
 	}
-	if blocked {
+	if blocked && (w == nil || cut || !c.pool.awaitRestart(ctx, w)) {
 		<-ctx.Done()
 		return nil, &briarspring.NoAnswerError{Call: "order", Cause: ctx.Err()}
 	}
@@ -320,7 +328,7 @@
 	case o.Run.Run <= w.highestRun[o.Run.Task]:
 		return refused(briarspring.VerdictStaleRun)
 	}
-	w.renewLease(o.Until)
+	p.renewLease(w, o.Until)
 	p.checkStart(w, o.Run)
 	p.lastStart[o.Run.Task] = taskStart{run: o.Run.Run, worker: w.entry.ID, at: time.Now()}
 	p.counts.Starts++
--- a/imitator/poolfault.go
+++ b/imitator/poolfault.go
@@ -1,9 +1,11 @@
 package imitator
 
 import (
+	"context"
 	"time"
 
 	"briarspring"
+	"briarspring/sleeper"
 )
 
 // Crash stops a worker. Its runs and its unacknowledged ends are lost.
@@ -99,3 +101,29 @@
 
 // answerLost reports whether the answer to a call is lost.
 func (p *Pool) answerLost() bool { return p.lostShare > 0 && p.random.Float64() < p.lostShare }
+
+// SetHeldCalls sets whether calls to a worker that is down reach its next process, as on a
+// machine that drops packets until it is back: callers repeat them unseen.
+func (p *Pool) SetHeldCalls(held bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heldCalls = held
+}
+
+// heldCallInterval is the time between two attempts to reach a worker that is down.
+const heldCallInterval = 5 * time.Millisecond
+
+// awaitRestart waits until a worker is up if calls are held for it, and reports whether it is.
+func (p *Pool) awaitRestart(ctx context.Context, w *poolWorker) bool {
+	for {
+		p.mu.Lock()
+		held, up := p.heldCalls, w.up
+		p.mu.Unlock()
+		if !held || up {
+			return up && held
+		}
+		if sleeper.For(ctx, heldCallInterval) != nil {
+			return false
+		}
+	}
+}
--- a/imitator/poollease.go
+++ b/imitator/poollease.go
@@ -8,9 +8,9 @@
 	"briarspring"
 )
 
-// renewLease extends the lease, to at most maxLease from now.
-func (w *poolWorker) renewLease(until time.Duration) {
-	w.leaseEnd = max(w.leaseEnd, min(until, w.clock()+maxLease))
+// renewLease extends the lease, to at most MaxLease from now.
+func (p *Pool) renewLease(w *poolWorker, until time.Duration) {
+	w.leaseEnd = max(w.leaseEnd, min(until, w.clock()+p.config.MaxLease))
 }
 
 // enforceLease ends all runs if the lease has expired.
@@ -58,7 +58,7 @@
 		p.mu.Unlock()
 		return briarspring.LeaseReply{}, refused(briarspring.VerdictSuperseded)
 	}
-	w.renewLease(h.Until)
+	p.renewLease(w, h.Until)
 	p.acknowledge(w, h.LastSeenEnd)
 	noEnds := len(p.listedEnds(w)) == 0
 	changed := w.changed
--- a/inventory.go
+++ b/inventory.go
@@ -14,9 +14,16 @@
 
 // KnownWorker is a worker that an owner may have used.
 type KnownWorker struct {
-	ID      string
-	Address string
-	Service string
+	ID        string
+	Address   string
+	Service   string
+	Restarted bool // Its process is young, and the one before had the same ID.
+}
+
+// Names reports whether two records name the same worker at the same address and of the
+// same service.
+func (k KnownWorker) Names(o KnownWorker) bool {
+	return k.ID == o.ID && k.Address == o.Address && k.Service == o.Service
 }
 
 // WorkerKind is the workers of a service that have a label.
