A worker's lost process is not blamed on runs that its next one has carried out

Sound work could be given up (LOST): when a worker answered by a new process, all runs known there were suspected of having crashed the one before, also those that were ordered after the restart and that the same answer lists as alive; a task that was under suspicion already was given up at once.

Cause: restarts are noticed at the first answer of the new process, and runs are kept by the worker's ID, without its life. A run that was ordered after the latest possible start of the new process, by its clock, is innocent now.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -55,18 +55,21 @@
 
 // suspectRuns counts the loss of a worker against the tasks that are most likely
 // to have caused it, and returns them. Its other runs are lost as well. A worker
-// that had announced that it leaves has not crashed.
-func (d *Dispatcher) suspectRuns(w *worker) []suspect {
+// that had announced that it leaves has not crashed. Starts sent after the latest time at
+// which it can have been lost are innocent.
+func (d *Dispatcher) suspectRuns(w *worker, latest time.Duration) []suspect {
 	if w.entry.Draining {
 		return nil
 	}
 	strongest := evidenceNone
 	for _, r := range w.runs {
-		strongest = max(strongest, r.evidence())
+		if r.since <= latest {
+			strongest = max(strongest, r.evidence())
+		}
 	}
 	var suspects []suspect
 	for _, r := range w.runs {
-		if strongest != evidenceNone && r.evidence() == strongest {
+		if strongest != evidenceNone && r.since <= latest && r.evidence() == strongest {
 			suspects = append(suspects, d.suspect(r))
 		}
 	}
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -161,8 +161,9 @@
 // runs are kept until a list without them shows that they are gone.
 func (d *Dispatcher) resetIncarnation(w *worker, sent time.Duration, reply briarspring.LeaseReply) {
 	first := w.incarnation == 0
+	born := d.now - reply.Clock // At the latest.
 	if !first {
-		d.suspectRuns(w)
+		d.suspectRuns(w, born)
 		d.logger.Warn("worker restarted", "worker", w.id, "born", reply.StartedAt, "before", w.incarnation, "runs", len(w.runs))
 	}
 	w.suspects = nil
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -49,7 +49,7 @@
 // loseWorker records that a worker and everything on it is certainly gone.
 func (d *Dispatcher) loseWorker(w *worker, why string) {
 	d.logger.Warn("worker is gone", "worker", w.id, "why", why, "silent-ms", (d.now - w.answeredAt).Milliseconds(), "runs", len(w.runs), "fenced", w.fenced)
-	w.suspects = append(w.suspects, d.suspectRuns(w)...)
+	w.suspects = append(w.suspects, d.suspectRuns(w, d.now)...)
 	for _, r := range w.runs {
 		d.markLost(r, why)
 	}
