Withdraw the suspicion against starts that were ordered after an unheard restart

Sound work could be given up (LOST): a worker restarts unheard, a start that is ordered after that gets no answer, and the worker is cut off until its lease has ended. Its task was suspected of having crashed it, and when the worker answered again, by its new process, that suspicion became final; four such rounds failed the workflow. Only workers that answered by the same process cleared it.

The new process's clock tells when it began at the latest: starts ordered later can't have crashed the one before, and have not crashed this one.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -49,8 +49,9 @@
 // suspect is a task under which a worker was lost, and what that added to the
 // suspicion.
 type suspect struct {
-	task  *task
-	added int
+	task    *task
+	added   int
+	ordered time.Duration // When the run was.
 }
 
 // suspectRuns counts the loss of a worker against the tasks that are most likely
@@ -91,13 +92,17 @@
 	d.markDirty(t.step.job)
 	d.logger.Warn("worker lost under a task", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
 		"run", r.ref.Run, "worker", r.worker.id, "settled", r.settled, "state", r.state.String(), "suspicion", t.suspicion, "given-up", t.crashing())
-	return suspect{task: t, added: t.suspicion - before}
+	return suspect{task: t, added: t.suspicion - before, ordered: r.since}
 }
 
 // clearSuspects withdraws the suspicion against the tasks under which a worker was
-// lost: it answers again and has not restarted.
-func (d *Dispatcher) clearSuspects(w *worker) {
+// lost and whose runs were ordered after a time: it answers again, and has not restarted
+// since then.
+func (d *Dispatcher) clearSuspects(w *worker, after time.Duration) {
 	for _, s := range w.suspects {
+		if s.ordered <= after {
+			continue
+		}
 		t := s.task
 		t.suspicion = max(0, t.suspicion-s.added)
 		d.markDirty(t.step.job)
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -104,7 +104,7 @@
 	if w.incarnation != reply.StartedAt {
 		d.resetIncarnation(w, sent, reply)
 	} else {
-		d.clearSuspects(w)
+		d.clearSuspects(w, 0)
 	}
 	w.renewalFailed = false
 	if !w.fenced {
@@ -166,7 +166,7 @@
 		d.suspectRuns(w, born)
 		d.logger.Warn("worker restarted", "worker", w.id, "born", reply.StartedAt, "before", w.incarnation, "runs", len(w.runs))
 	}
-	w.suspects = nil
+	d.clearSuspects(w, born)
 	w.startedSince = d.now
 	w.heardSince = reply.Clock
 	for _, r := range w.runs {
--- a/dispatcher/restart_test.go
+++ b/dispatcher/restart_test.go
@@ -10,6 +10,7 @@
 
 	"briarspring"
 	"briarspring/dispatcher"
+	"briarspring/encoder"
 )
 
 // restart replaces the process of a worker by an empty one with the same ID.
@@ -53,3 +54,57 @@
 		})
 	}
 }
+
+// Guards against sound work that is given up because starts that were ordered after an
+// unheard restart of a worker are blamed for the silence in which that worker was cut off.
+func TestSuspicionAfterAnUnheardRestart(t *testing.T) {
+	s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+	s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+	for range 4 {
+		s.now += 100 * time.Millisecond
+		s.renewAll()
+		s.store()
+		s.now += 400 * time.Millisecond
+		s.restart("w0")
+		s.now += 200 * time.Millisecond
+		s.d.ForcePlan()
+		orders := s.d.Plan(s.now)
+		s.store()
+		for _, o := range append(orders, s.d.Plan(s.now)...) {
+			s.d.HandleVerdict(s.now, o, briarspring.VerdictUnanswered)
+		}
+		s.beSilent("w0", 9*time.Second)
+		s.renewAll()
+	}
+	assert.Empty(t, s.phases(), "no run has failed")
+	b, _ := s.d.TakeBatch()
+	for _, p := range decodeProgress(t, b, "a") {
+		assert.Zero(t, p.Suspicion)
+	}
+}
+
+// beSilent lets a worker answer nothing for a time.
+func (s *fixture) beSilent(id string, length time.Duration) {
+	for end := s.now + length; s.now < end; {
+		s.now += 100 * time.Millisecond
+		s.d.NextRenewal(s.now, id)
+		s.d.RenewalFailed(s.now, id, briarspring.VerdictUnanswered)
+		s.store()
+		s.d.ForcePlan()
+		for _, o := range s.d.Plan(s.now) {
+			s.d.HandleVerdict(s.now, o, briarspring.VerdictUnanswered)
+		}
+	}
+}
+
+// decodeProgress returns the progress of a workflow in a batch.
+func decodeProgress(t testing.TB, b dispatcher.Batch, id briarspring.WorkflowID) []briarspring.TaskProgress {
+	for _, r := range b.Progress {
+		if r.Key == string(id) {
+			progress, err := encoder.DecodeRunProgress(r.Value)
+			require.NoError(t, err)
+			return progress
+		}
+	}
+	return nil
+}
--- a/dispatcher/started_test.go
+++ b/dispatcher/started_test.go
@@ -42,14 +42,7 @@
 	b, due := s.d.TakeBatch()
 	require.True(s.t, due)
 	s.d.Stored(b)
-	for _, r := range b.Progress {
-		if r.Key == string(id) {
-			progress, err := encoder.DecodeRunProgress(r.Value)
-			require.NoError(s.t, err)
-			return progress
-		}
-	}
-	return nil
+	return decodeProgress(s.t, b, id)
 }
 
 func assertRunningPhase(t *testing.T, s *fixture) {
