Owners allow for the lease of a worker's next process before they hear it

A task ran twice (TWICE), in two data centres: a worker restarts under its ID, takes a start that was meant for its earlier process and renewals, all answers to its owner are lost, and it is cut off. Their deadlines, by the clock of the earlier process, gave the longest lease, and each renewal that repeated the last deadline extended it; the owner counted from the earlier process's last answer.

Now a renewal after a failed one names no deadline, a worker whose renewal failed or whose entry tells of a process that has not answered gets no starts, and the lease of such a process counts as the longest one from when the entry was seen.

--- a/assembler/former_life_test.go
+++ b/assembler/former_life_test.go
@@ -55,3 +55,39 @@
 		assertNoViolations(t, f)
 	})
 }
+
+// Guards against an owner that starts a task again which still runs on a worker that is cut
+// off: a start that was meant for the worker's process before, and whose answer was lost, had
+// given the present one the longest lease.
+func TestLeaseOfAProcessThatWasNotHeard(t *testing.T) {
+	for _, lost := range []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second} {
+		inVirtualTime(t, "answers are lost for "+lost.String(), func(t *testing.T, f *fleet) {
+			for i := range f.size.workers {
+				f.pool.Crash(fmt.Sprintf("worker-%s-%d", tartu, i))
+			}
+			time.Sleep(restartTime)
+			f.pool.SetLostAnswerShare(1)
+			for i := range f.size.workers {
+				f.pool.Restart(fmt.Sprintf("worker-%s-%d", tartu, i))
+			}
+			step := longRunningStep(1)
+			step.Image = ""
+			require.True(t, f.submit("0000000000000051", step))
+			time.Sleep(lost)
+			require.Equal(t, 1, f.pool.Starts())
+			f.setWorkersCut(tartu, true)
+			f.pool.SetLostAnswerShare(0)
+			time.Sleep(15 * time.Second)
+			f.setWorkersCut(tartu, false)
+			assertRunning(t, f, "0000000000000051", 10*time.Second)
+			assertNoViolations(t, f)
+		}, tartu, viljandi)
+	}
+}
+
+// setWorkersCut cuts all workers of a data centre off from its hosts, or ends that.
+func (f *fleet) setWorkersCut(centre string, cut bool) {
+	for i := range f.size.hosts {
+		f.cutOff(f.host(centre, i), false, true, cut)
+	}
+}
--- a/assembler/waiting_test.go
+++ b/assembler/waiting_test.go
@@ -33,16 +33,11 @@
 		f.pool.Restart(fmt.Sprintf("worker-%s-%d", centre, i))
 	}
 	time.Sleep(2 * time.Second)
-	cut := func(cut bool) {
-		for i := range f.size.hosts {
-			f.cutOff(f.host(centre, i), false, true, cut)
-		}
-	}
-	cut(true)
+	f.setWorkersCut(centre, true)
 	for i := range waitingWorkflows {
 		require.True(f.t, f.submit(briarspring.WorkflowID(fmt.Sprintf("%016x", 0x51+i)), shortStep(2)))
 	}
-	return func() { cut(false) }
+	return func() { f.setWorkersCut(centre, false) }
 }
 
 // assertWaiting checks that every host counts a number of workflows that wait.
--- a/dispatcher/authority.go
+++ b/dispatcher/authority.go
@@ -108,7 +108,7 @@
 // certainly ended, or false while an earlier owner may still renew it.
 func (d *Dispatcher) silentLeaseEnd(w *worker) (time.Duration, bool) {
 	if w.fenced {
-		return w.leaseEnd(), true
+		return max(w.leaseEnd(), d.unheardLeaseEnd(w)), true
 	}
 	if at, ok := d.silentLeaseEnds[w.id]; ok {
 		return at, true
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -51,8 +51,8 @@
 		req.Wait = reportTime + reportSlack
 	}
 	if w.renewalFailed {
-		// Extending the lease without an answer would keep it from ever ending.
-		req.Until = w.leaseUntil
+		// Extending the lease without an answer would keep it from ever ending, and a deadline
+		// by the clock of an earlier process gives the longest lease.
 		return req, true
 	}
 	req.LastSeenEnd = w.lastEndStored
@@ -180,7 +180,7 @@
 		// Its clock counts from its start and may be slow.
 		w.bornAfter = sent - time.Duration(float64(reply.Clock)*(1+clockSkew)) - leaseMargin
 	}
-	w.restarted = w.restarted || !first
+	w.restarted, w.restartSeenAt = w.restarted || !first, 0
 	w.incarnation = reply.StartedAt
 	w.lastEndSeen = 0
 	w.lastEndStored = 0
--- a/dispatcher/restart.go
+++ b/dispatcher/restart.go
@@ -18,3 +18,13 @@
 		w.leaseUntil = max(w.leaseUntil, min(w.clock, formerCallTime)+d.config.MaxLease)
 	}
 }
+
+// unheardLeaseEnd returns the time at which the lease of an incarnation of a worker that has
+// not answered yet has certainly ended, if the worker's entry tells of one. No order that
+// extends a lease is sent to it.
+func (d *Dispatcher) unheardLeaseEnd(w *worker) time.Duration {
+	if w.restartSeenAt == 0 {
+		return 0
+	}
+	return w.restartSeenAt + time.Duration(float64(d.config.MaxLease)*(1+clockSkew)) + leaseMargin
+}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -53,6 +53,7 @@
 	reported      bool          // Has listed everything that runs or has ended under earlier owners.
 	bornAfter     time.Duration // Earliest start of its present incarnation; zero for the first one known.
 	restarted     bool          // A call that was meant for its last incarnation may have extended its lease.
+	restartSeenAt time.Duration // When its entry named an incarnation that has not answered yet; zero for none.
 	acceptedAt    time.Duration // When the last renewal that it accepted was sent.
 	startedSince  time.Duration // When its present incarnation first answered.
 	lastEndSeen   uint64        // Highest number of an end that was processed.
@@ -154,6 +155,9 @@
 		d.logger.Info("worker's state changed", "worker", e.ID, "draining", e.Draining, "remaining-ms", e.Remaining.Milliseconds())
 	}
 	w.gone = w.gone && e.StartedAt == w.entry.StartedAt && e.Address == w.entry.Address
+	if w.restartSeenAt == 0 && w.incarnation > 0 && e.StartedAt > w.incarnation {
+		w.restartSeenAt = d.now
+	}
 	w.listed = true
 	w.unlistedAt = 0
 	w.entry = e
@@ -207,7 +211,7 @@
 
 // usable reports whether the worker may get starts, apart from quarantine.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && w.recorded && !w.entry.Draining && w.fenced && len(w.orphans) == 0 &&
+	return w.listed && w.recorded && !w.entry.Draining && w.fenced && len(w.orphans) == 0 && !w.renewalFailed && w.restartSeenAt == 0 &&
 		now-w.answeredAt < silenceLimit && now >= w.pausedUntil
 }
 
