A refused start doesn't begin the wait of its task anew

A long-running task whose starts are refused, each after 0.5 s, was never moved to a data centre with room, which takes a wait of 0.6 s: 40 orders in 20 s. The wait began anew whenever a run was taken off its task, also one that had certainly not started.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -131,8 +131,7 @@
 	case r.worker.runs[r.ref] != r:
 		// Lost with its worker.
 	case r.stopping || d.outOfService || !r.worker.usable(d.now) || !d.mayOrder(d.now) || !d.maySend(r):
-		d.removeRun(r)
-		d.markDirty(r.task.step.job)
+		d.removeUnstarted(r)
 	default:
 		d.sendStart(r)
 	}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -71,6 +71,7 @@
 	runs         []*run
 	past         []pastRun // By run number, see maxPastRuns.
 	readySince   time.Duration
+	waitingSince time.Duration // Value of readySince when the last start was ordered.
 	avoidWorker  *worker       // Worker of its last failure.
 	place        *placeWaiting // Its wait for a good place; nil for none.
 	away         bool          // It was stopped for urgent work and is not at work yet.
@@ -200,6 +201,7 @@
 func (t *task) attachRun(r *run) {
 	if len(t.runs) == 0 {
 		t.step.waiting--
+		t.waitingSince = t.readySince
 	}
 	t.runs = append(t.runs, r)
 	t.step.job.live++
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -71,8 +71,7 @@
 		w.pausedUntil = d.now + startPause
 		r.task.avoidWorker = w
 	}
-	d.removeRun(r)
-	d.markDirty(r.task.step.job)
+	d.removeUnstarted(r)
 	if v == briarspring.VerdictInvalid {
 		r.task.countFailure(r.ref.Run)
 	}
--- a/dispatcher/started.go
+++ b/dispatcher/started.go
@@ -55,3 +55,15 @@
 		d.updatePhase(j)
 	}
 }
+
+// removeUnstarted removes a run that has certainly not started. Its task goes on waiting as if
+// no start had been ordered.
+func (d *Dispatcher) removeUnstarted(r *run) {
+	t := r.task
+	since := t.waitingSince
+	d.removeRun(r)
+	if len(t.runs) == 0 && !t.done {
+		t.readySince = since
+	}
+	d.markDirty(t.step.job)
+}
--- a/dispatcher/started_test.go
+++ b/dispatcher/started_test.go
@@ -177,3 +177,22 @@
 	s.d.ApplyEnds(s.now, "a", map[int]briarspring.TaskProgress{0: {Run: 1, FailedRuns: []uint32{1}}})
 	assertRunningPhase(t, s)
 }
+
+// Guards against a long-running task that stays where every start of it is refused, since each
+// one begins its wait anew, while another data centre has room.
+func TestTransferOfATaskWhoseStartsAreRefused(t *testing.T) {
+	s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+	s.d.Submit(s.now, 0, workflow("a", longRunning(1, 1000)), 5, nil, nil)
+	transfers := 0
+	for range 100 {
+		s.now += 50 * time.Millisecond
+		s.renewAll()
+		s.store()
+		s.d.ForcePlan()
+		for _, o := range s.d.Plan(s.now) {
+			s.d.HandleVerdict(s.now, o, briarspring.VerdictFull)
+		}
+		transfers += len(s.d.TakeTransfers(s.now, func(string, []*briarspring.Step) string { return "viljandi" }))
+	}
+	assert.Equal(t, 1, transfers)
+}
