A done task shows that its workflow has started, also in an earlier version's record

Records of owners of an earlier version don't say whether a worker has carried out a start. A new owner took a workflow with a done task for one that waits, until its next start.

--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -269,7 +269,7 @@
 	t.suspicion = p.Suspicion
 	t.lastRun = p.Run
 	t.checkpoint = p.Checkpoint
-	if p.Started {
+	if p.Started || p.Done {
 		d.noteStarted(t, recordedSource(origin), p.Run, p.Worker)
 	}
 	if t.suspicion > 0 || len(t.failedRuns) > 0 {
--- a/dispatcher/started_test.go
+++ b/dispatcher/started_test.go
@@ -196,3 +196,11 @@
 	}
 	assert.Equal(t, 1, transfers)
 }
+
+// Guards against a workflow with a done task that counts as not started, since an owner of an
+// earlier version wrote its record.
+func TestPhaseByARecordOfAnEarlierVersion(t *testing.T) {
+	s := newFixture(t, dispatcher.Config{Token: 1}, 0)
+	s.d.Submit(s.now, 0, workflow("a", step(2, 1000)), 5, []briarspring.TaskProgress{{Done: true, Run: 1}}, nil)
+	assertRunningPhase(t, s)
+}
