A start that was refused for an ended run is no evidence against its task

Sound work could be given up (LOST): a start that a worker refused, since a run of that number or a higher one has ended there, counted as one that had just started when the worker was lost, and three such losses failed the workflow. Nothing of the task runs there; only its end may still be listed.

--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -58,7 +58,7 @@
 		"run", r.ref.Run, "worker", w.id, "verdict", v.String())
 	if v == briarspring.VerdictStaleRun {
 		// A run of this number or a higher one has ended there; its end may not be listed yet.
-		r.state = runAlive
+		r.state, r.unreported = runAlive, true
 		return
 	}
 	if v == briarspring.VerdictUnanswered {
--- a/dispatcher/restart_test.go
+++ b/dispatcher/restart_test.go
@@ -108,3 +108,25 @@
 	}
 	return nil
 }
+
+// Guards against sound work that is given up because workers that had refused its starts, for
+// a run that has ended there, were lost just then.
+func TestSuspicionByRefusedStarts(t *testing.T) {
+	s := newFixture(t, dispatcher.Config{Token: 1}, 8)
+	s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+	for range 600 {
+		s.now += 100 * time.Millisecond
+		s.renewAll()
+		s.store()
+		s.d.ForcePlan()
+		for _, o := range s.d.Plan(s.now) {
+			if o.Kind != dispatcher.OrderStart {
+				s.d.HandleVerdict(s.now, o, briarspring.VerdictDone)
+				continue
+			}
+			s.restart(o.Worker)
+			s.d.HandleVerdict(s.now, o, briarspring.VerdictStaleRun)
+		}
+	}
+	assert.Empty(t, s.phases(), "no worker has carried out a start")
+}
