A run settles by the time since its start was answered, not since its order

Sound work could be suspected beside a start that crashes its worker: a start that was carried out 0.7 s after its order counted as harmless when it was first listed, so that the runs beside it were suspected as much.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -122,7 +122,7 @@
 // settle records that a worker lists a run long enough after its start. A
 // long-running task that is at work then is no suspect any more.
 func (d *Dispatcher) settle(r *run) {
-	if !r.settled && d.now-r.since >= settleTime {
+	if !r.settled && d.now-r.startAnsweredAt >= settleTime {
 		r.settled = true
 		if r.worker.isolatedRun == r {
 			r.worker.isolatedRun = nil
--- a/dispatcher/restart_test.go
+++ b/dispatcher/restart_test.go
@@ -130,3 +130,30 @@
 	}
 	assert.Empty(t, s.phases(), "no worker has carried out a start")
 }
+
+// Guards against sound work that is suspected beside a start that crashes its worker, since a
+// start that was carried out late counted as one that had shown itself harmless.
+func TestSuspicionBesideALateStart(t *testing.T) {
+	s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+	s.d.Submit(s.now, 0, workflow("sound", step(1, 1000)), 5, nil, nil)
+	s.planAndApply()
+	wait := func(length time.Duration) {
+		for end := s.now + length; s.now < end; {
+			s.now += 100 * time.Millisecond
+			s.renewAll()
+		}
+	}
+	wait(time.Second)
+	s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 6, nil, nil)
+	s.d.ForcePlan()
+	orders := s.d.Plan(s.now)
+	require.Len(t, orders, 1)
+	wait(700 * time.Millisecond) // The order is on its way.
+	s.d.HandleVerdict(s.now, orders[0], briarspring.VerdictDone)
+	s.workers["w0"].running[orders[0].Run()] = briarspring.RunningTask{Run: orders[0].Run()}
+	s.renewAll()
+	s.restart("w0")
+	s.now += 100 * time.Millisecond
+	s.renewAll()
+	assert.Equal(t, uint64(1), s.d.Counters().Suspects)
+}
