--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -290,8 +290,8 @@
 		time.Sleep(delay)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		// A worker that restarts loses the orders it has received.
-		if w.up && w.incarnation == incarnation {
+		// A worker that restarts loses the orders it has received, unless the network held them.
+		if w.up && (w.incarnation == incarnation || p.heldCalls) {
 			_ = order(w)
 		}
 	}()
