--- a/stressor/crowd.go
+++ b/stressor/crowd.go
@@ -1,7 +1,9 @@
 package stressor
 
 import (
+	"bufio"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -71,3 +73,20 @@
 	}
 	c.conns = nil
 }
+
+// Ask sends a whole request and returns the status of the response.
+func Ask(address string, send Sender) (int, error) {
+	conn, err := net.DialTimeout("tcp", address, sendTimeout)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(sendTimeout)) // Reads and writes fail as well.
+	send(conn, true)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, nil
+}
--- a/stressor/process.go
+++ b/stressor/process.go
@@ -20,7 +20,7 @@
 const (
 	bytesPerMiB  = 1 << 20
 	pollInterval = 20 * time.Millisecond
-	// logTailBytes is how much of a log is printed for a process that exited.
+	// logTailBytes is how much of a log is printed when a test fails.
 	logTailBytes = 4000
 )
 
@@ -51,7 +51,12 @@
 		_ = cmd.Wait() // AssertAlive reports an exit.
 	}()
 	go p.watchDescriptors()
-	t.Cleanup(p.Kill)
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("%s", p.logTail())
+		}
+	})
 	return p
 }
 
@@ -64,13 +69,18 @@
 // Done returns a channel that is closed when the process has exited.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
+// logTail returns the end of what the process has logged.
+func (p *Process) logTail() []byte {
+	logs, _ := os.ReadFile(p.logs)
+	return logs[max(0, len(logs)-logTailBytes):]
+}
+
 // AssertAlive checks that the process has not exited.
 func (p *Process) AssertAlive(t testing.TB) {
 	t.Helper()
 	select {
 	case <-p.done:
-		logs, _ := os.ReadFile(p.logs)
-		require.FailNow(t, "the process exited", "%s", logs[max(0, len(logs)-logTailBytes):])
+		require.FailNow(t, "the process exited", "%s", p.logTail())
 	default:
 	}
 }
--- a/stressor/send.go
+++ b/stressor/send.go
@@ -13,9 +13,6 @@
 const (
 	pieces     = 8
 	pieceDelay = 30 * time.Millisecond
-	// unreadTime is how long clients that don't read their responses keep sending
-	// requests.
-	unreadTime = 3 * time.Second
 	// halfHeaderBytes is nearly the largest legal header.
 	halfHeaderBytes = 15 << 10
 )
@@ -105,11 +102,11 @@
 	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nX-Long: "+strings.Repeat("a", halfHeaderBytes))
 }
 
-// Unread sends requests for a while, and reads no response.
-func Unread(request string) Sender {
+// Unread sends requests for a duration, and reads no response.
+func Unread(request string, d time.Duration) Sender {
 	many := strings.Repeat(request, 64)
 	return func(conn net.Conn, _ bool) {
-		_ = conn.SetWriteDeadline(time.Now().Add(unreadTime))
+		_ = conn.SetWriteDeadline(time.Now().Add(d))
 		for {
 			if _, err := io.WriteString(conn, many); err != nil {
 				return
