limiter: bodies that no handler reads don't hold connections for good

Cause: before it sends a response of more than 2 KiB, net/http discards the rest of a body that the handler hasn't read. It does so while the handler runs, so the connection counted as serving, which is never shed and has no stall time. 64 clients with an unfinished body closed the admin port of a gateway, readiness included, for as long as they stayed; four did the same to the metrics of a host with lowered limits.

Change: a read from the connection while a handler runs that hasn't read its body puts the connection into the phase draining for as long as it waits, so that it can be shed and expires. ReadBody has a phase of its own, as before. Where a request was carried out, its connection is closed without a refusal.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -37,8 +37,12 @@
 		c.door.refuse(c.Conn)
 		return 0, err
 	}
+	discards := c.beginDiscard()
 	n, err := c.Conn.Read(b)
 	c.arrived(n, reserved)
+	if discards {
+		c.endDiscard()
+	}
 	if c.shed.Load() {
 		return 0, net.ErrClosed
 	}
@@ -78,6 +82,32 @@
 	h.progress = now
 }
 
+// beginDiscard reports whether a read is for the rest of a body that the handler has
+// not read. The server discards it before it sends the response, also while the
+// handler runs, which waits for the client then.
+func (c *Conn) beginDiscard() bool {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := c.holding
+	if h.phase != phaseServing || !h.unread {
+		return false
+	}
+	h.phase, h.progress = phaseDraining, l.config.Now()
+	return true
+}
+
+// endDiscard records that the read has ended and the handler goes on, unless it has
+// returned.
+func (c *Conn) endDiscard() {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.holding.phase == phaseDraining && c.holding.unread {
+		c.holding.phase = phaseServing
+	}
+}
+
 // Write writes to the connection. It fails if the client reads nothing for the stall
 // time.
 func (c *Conn) Write(b []byte) (int, error) {
@@ -160,13 +190,30 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.holding.phase = p
-	if p == phaseDraining {
+	switch p {
+	case phaseBody:
+		c.holding.unread = false
+	case phaseDraining:
+		c.holding.unread = false
 		c.holding.since, c.holding.progress = l.config.Now(), l.config.Now()
 		c.releaseAll()
 	}
 	return !c.holding.shed
 }
 
+// beginServing records that a handler carries out a request. It returns false if the
+// connection was shed.
+func (c *Conn) beginServing(hasBody bool) bool {
+	if c == nil {
+		return true
+	}
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.holding.phase, c.holding.unread = phaseServing, hasBody
+	return !c.holding.shed
+}
+
 // endRequest records that the connection waits for the next request.
 func (c *Conn) endRequest() {
 	if c == nil {
--- a/limiter/door.go
+++ b/limiter/door.go
@@ -60,7 +60,7 @@
 func (d *Door) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
 		c, _ := req.Context().Value(connKey{}).(*Conn)
-		if !c.setPhase(phaseServing) {
+		if !c.beginServing(req.ContentLength != 0) {
 			// Shed while its header was being parsed: it was told that it has not run.
 			panic(http.ErrAbortHandler)
 		}
--- a/limiter/door_test.go
+++ b/limiter/door_test.go
@@ -45,6 +45,10 @@
 		_, _ = rw.Write(make([]byte, 64<<20)) // Fails when the client is shed.
 		return
 	}
+	if req.URL.Path == "/unread" {
+		_, _ = rw.Write(make([]byte, 16*kB)) // Fails when the client is shed.
+		return
+	}
 	body, err := ReadBody(rw, req, 256*kB)
 	var refused *RefusedError
 	if errors.As(err, &refused) {
@@ -177,3 +181,29 @@
 	var refused *RefusedError
 	assert.ErrorAs(t, err, &refused, "its body is complete")
 }
+
+// Guards against clients that hold connections for good by bodies that the handler
+// doesn't read: the server waits for them before it sends a large response.
+func TestUnreadBody(t *testing.T) {
+	const connections = 4
+	for _, header := range []string{"Content-Length: 1000\r\n\r\na", "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n"} {
+		d := newDoorTest(t, DoorConfig{Bytes: 1024 * kB, Connections: connections})
+		for range connections {
+			c, err := net.Dial("tcp", d.address)
+			require.NoError(t, err)
+			t.Cleanup(func() { c.Close() })
+			_, err = io.WriteString(c, "GET /unread HTTP/1.1\r\nHost: a\r\n"+header)
+			require.NoError(t, err)
+		}
+		require.Eventually(t, func() bool { return d.limiter.Snapshot()["test/connections"] == connections }, 5*time.Second, time.Millisecond)
+		time.Sleep(2 * d.limiter.config.Grace)
+		require.Eventually(t, func() bool {
+			resp, err := http.Get("http://" + d.address + "/unread")
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		}, 5*time.Second, 10*time.Millisecond)
+	}
+}
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -39,6 +39,7 @@
 	received int64         // Bytes of this request that have arrived.
 	bytes    int64         // Reserved for this request, without the connection's own.
 	writing  bool          // A write waits for the client to read.
+	unread   bool          // The handler that runs has not read the request's body.
 	shed     bool
 }
 
