Operators' calls are bounded by what they take when they are decoded

Cause: the bytes of a call were reserved as they arrive, three for each. connect expands bodies in gzip without a bound, and an empty element of a list takes 2 bytes of a body and some hundred as a message. Eight bodies of 32 MiB took 808 MiB of a host and 826 MiB of a scheduler.

What can't fit its door gets 413. Compressed messages of gRPC-Web and of Connect's streams are refused, as nothing bounds them before they are decoded; responses are compressed as before.

--- a/assembler/doors.go
+++ b/assembler/doors.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/hashicorp/go-hclog"
 
 	"briarspring/limiter"
@@ -38,9 +39,6 @@
 	connectionBytes = 16 << 10
 	// minDoorConnections is what each door has at least.
 	minDoorConnections = 4
-	// operatorsWeight is how many bytes a message of the operators' calls takes for each
-	// that arrives: the body, its decoded form, and what is made of that.
-	operatorsWeight = 3
 )
 
 // protector limits the clients of a server, and returns the listener on which the
@@ -85,11 +83,19 @@
 	}
 }
 
-// buffered returns a handler that reads bodies within a door's limits before it
-// passes requests on.
+// buffered returns a handler that reads operators' calls within a door's limits before
+// it passes them on.
 func (d *doors) buffered(name string, h http.Handler) http.Handler {
 	if d == nil {
 		return h
 	}
-	return limiter.Buffered(h, d.bytes(name)/2/operatorsWeight, operatorsWeight)
+	return bufferedCalls(h, d.bytes(name))
+}
+
+// callOptions returns the options of handlers that buffered calls are passed to.
+func (d *doors) callOptions() []connect.HandlerOption {
+	if d == nil {
+		return nil
+	}
+	return callOptions()
 }
--- a/assembler/entry_doors.go
+++ b/assembler/entry_doors.go
@@ -79,7 +79,7 @@
 // buffered returns a handler that reads operators' calls within the limits before it
 // passes them on.
 func (d *entryDoors) buffered(h http.Handler) http.Handler {
-	return limiter.Buffered(h, d.clients.Bytes/2/operatorsWeight, operatorsWeight)
+	return bufferedCalls(h, d.clients.Bytes)
 }
 
 // publish adds the counters to the metrics.
--- a/assembler/host_operators.go
+++ b/assembler/host_operators.go
@@ -21,7 +21,7 @@
 		served[name] = s
 	}
 	mux := http.NewServeMux()
-	mux.Handle(briarspringv1connect.NewWorkflowsHandler(operator.NewWorkflowServer(intake, served)))
+	mux.Handle(briarspringv1connect.NewWorkflowsHandler(operator.NewWorkflowServer(intake, served), c.doors.callOptions()...))
 	part, err := newHTTPPart(c.OperatorsAddr, c.doors.buffered(operatorsDoor, mux), c.doors.protect(operatorsDoor), c.Logger)
 	if err != nil {
 		c.Logger.Error("operators' calls are not served", "address", c.OperatorsAddr, "error", err)
--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -85,7 +85,7 @@
 
 func operatorsHandler(engine *scheduler.Scheduler) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(briarspringv1connect.NewOperatorsHandler(operator.New(engine)))
+	mux.Handle(briarspringv1connect.NewOperatorsHandler(operator.New(engine), callOptions()...))
 	return mux
 }
 
--- a/limiter/body.go
+++ b/limiter/body.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -121,33 +120,3 @@
 	rw.Header().Set("Retry-After", strconv.Itoa(int(e.RetryAfter/time.Second)))
 	http.Error(rw, e.Error(), http.StatusServiceUnavailable)
 }
-
-// Buffered returns a handler that reads bodies of at most limit bytes before it
-// passes requests on, for handlers that read them on their own. Messages are made of
-// the bytes, so weight times as many are reserved.
-func Buffered(next http.Handler, limit int64, weight int64) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
-		body, err := ReadBody(rw, req, limit)
-		if err == nil {
-			err = Reserve(req.Context(), int64(len(body))*(weight-1))
-		}
-		var refused *RefusedError
-		var large *http.MaxBytesError
-		switch {
-		case errors.As(err, &refused):
-			WriteRefusal(rw, refused)
-			return
-		case errors.As(err, &large):
-			http.Error(rw, err.Error(), http.StatusRequestEntityTooLarge)
-			return
-		case err != nil:
-			http.Error(rw, err.Error(), http.StatusBadRequest)
-			return
-		}
-		if body != nil {
-			req.Body = io.NopCloser(bytes.NewReader(body))
-			req.ContentLength = int64(len(body))
-		}
-		next.ServeHTTP(rw, req)
-	})
-}
