limiter: bodies in chunks are decoded in turns

Cause: a body of 256 KiB in chunks of 4 bytes costs milliseconds of processor time (89 percent of a host's profile under such clients is net/http's chunked reader). Nothing limits how many are decoded at a time, so ordinary requests wait for all of them.

Waiting for a turn doesn't count as a stall, and a body that waits for room has none. Requests without chunks are not concerned; a single one in chunks of 4 bytes is served as before ("calm").

--- a/limiter/body.go
+++ b/limiter/body.go
@@ -39,6 +39,9 @@
 		return io.ReadAll(reader)
 	}
 	c.setPhase(phaseBody)
+	if req.ContentLength < 0 {
+		c.beginChunks()
+	}
 	body, err := c.readBody(reader, req.ContentLength, limit)
 	var large *http.MaxBytesError
 	if !c.setPhase(phaseServing) && !errors.As(err, &large) {
@@ -88,6 +91,7 @@
 func (c *Conn) grow(body []byte, limit int64) ([]byte, error) {
 	old := int64(len(body))
 	size := min(2*old, limit+1)
+	c.leaveLane() // Others may have to be decoded before they release their bytes.
 	if err := c.reserve(size); err != nil {
 		return nil, err
 	}
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -23,6 +23,8 @@
 	net.Conn
 	door    *Door
 	holding *holding    // Guarded by limiter.mu.
+	chunked bool        // A body in chunks is being read. Guarded by limiter.mu.
+	turn    time.Time   // Start of the turn in the lane; zero for none. Guarded by limiter.mu.
 	shed    atomic.Bool // Reads fail from now on.
 }
 
@@ -37,12 +39,14 @@
 		c.door.refuse(c.Conn)
 		return 0, err
 	}
+	c.leaveLane()
 	discards := c.beginDiscard()
 	n, err := c.Conn.Read(b)
 	c.arrived(n, reserved)
 	if discards {
 		c.endDiscard()
 	}
+	c.enterLane()
 	if c.shed.Load() {
 		return 0, net.ErrClosed
 	}
@@ -82,6 +86,59 @@
 	h.progress = now
 }
 
+// beginChunks records that a body in chunks is being read.
+func (c *Conn) beginChunks() {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.chunked = true
+}
+
+// enterLane waits until what has arrived of a body in chunks may be decoded.
+func (c *Conn) enterLane() {
+	if !c.queue() {
+		return
+	}
+	l := c.door.limiter
+	l.lane.enter()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.holding.queued = false
+	if !c.chunked || !c.turn.IsZero() {
+		l.lane.leave(0) // The request has ended meanwhile.
+		return
+	}
+	c.turn = time.Now()
+	c.holding.progress = l.config.Now()
+}
+
+// queue records that the connection waits for a turn. It returns false if it needs
+// none.
+func (c *Conn) queue() bool {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.holding.queued = c.chunked && !c.holding.shed
+	return c.holding.queued
+}
+
+// leaveLane lets another body be decoded.
+func (c *Conn) leaveLane() {
+	l := c.door.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.endTurn()
+}
+
+// endTurn ends the turn in the lane, if there is one. The limiter is locked.
+func (c *Conn) endTurn() {
+	if c.turn.IsZero() {
+		return
+	}
+	c.door.limiter.lane.leave(time.Since(c.turn))
+	c.turn = time.Time{}
+}
+
 // beginDiscard reports whether a read is for the rest of a body that the handler has
 // not read. The server discards it before it sends the response, also while the
 // handler runs, which waits for the client then.
@@ -157,6 +214,8 @@
 	l := c.door.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.chunked = false
+	c.endTurn()
 	c.door.pool.disconnect(c.holding)
 	delete(c.door.conns, c.holding)
 	return err
@@ -190,6 +249,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.holding.phase = p
+	c.chunked = false
+	c.endTurn()
 	switch p {
 	case phaseBody:
 		c.holding.unread = false
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -44,6 +44,7 @@
 type Limiter struct {
 	config Config
 	lines  *rate.Limiter
+	lane   *lane
 	done   chan struct{}
 
 	mu       sync.Mutex
@@ -62,7 +63,7 @@
 		c.Now = func() time.Duration { return time.Since(start) }
 	}
 	return &Limiter{
-		config: c, lines: rate.NewLimiter(logRate, logBurst), done: make(chan struct{}),
+		config: c, lines: rate.NewLimiter(logRate, logBurst), lane: newLane(), done: make(chan struct{}),
 		counts: map[string]uint64{},
 	}
 }
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -39,6 +39,7 @@
 	received int64         // Bytes of this request that have arrived.
 	bytes    int64         // Reserved for this request, without the connection's own.
 	writing  bool          // A write waits for the client to read.
+	queued   bool          // Waits for a turn to be decoded, and not for its client.
 	unread   bool          // The handler that runs has not read the request's body.
 	shed     bool
 }
@@ -288,7 +289,7 @@
 	var victims []*holding
 	for _, h := range p.holdings {
 		receives := h.phase == phaseBody || h.phase == phaseDraining
-		if !h.shed && receives && (now-h.progress > stall || now-h.since > request) {
+		if !h.shed && !h.queued && receives && (now-h.progress > stall || now-h.since > request) {
 			p.mark(h)
 			victims = append(victims, h)
 		}
