Nothing that extends a lease goes to a process that only its entry tells of

A renewal after the entry had named that process, and before any renewal failed, still had a deadline by the clock of the earlier one, and acknowledged its ends: it has neither now (TestRenewalOfAProcessThatWasNotHeard). A worker whose entry names another process than its answers do got no starts any more: an answer to a renewal that was sent after the entry was seen clears that (TestStartsOnAWorkerWithAnOddEntry). Both tests failed before.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -100,7 +100,7 @@
 // since then.
 func (d *Dispatcher) clearSuspects(w *worker, after time.Duration) {
 	for _, s := range w.suspects {
-		if s.ordered <= after {
+		if s.ordered < after {
 			continue
 		}
 		t := s.task
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -50,7 +50,7 @@
 	if w.inherited && !w.reported {
 		req.Wait = reportTime + reportSlack
 	}
-	if w.renewalFailed {
+	if w.renewalFailed || w.restartSeenAt > 0 {
 		// Extending the lease without an answer would keep it from ever ending, and a deadline
 		// by the clock of an earlier process gives the longest lease.
 		return req, true
@@ -107,6 +107,9 @@
 		d.clearSuspects(w, 0)
 	}
 	w.renewalFailed = false
+	if sent >= w.restartSeenAt {
+		w.restartSeenAt = 0
+	}
 	if !w.fenced {
 		d.logger.Info("worker accepted this owner's token", "worker", w.id, "token", d.config.Token, "running", len(reply.Running), "ended", len(reply.Ended))
 		d.needsPlan = true
@@ -180,7 +183,7 @@
 		// Its clock counts from its start and may be slow.
 		w.bornAfter = sent - time.Duration(float64(reply.Clock)*(1+clockSkew)) - leaseMargin
 	}
-	w.restarted, w.restartSeenAt = w.restarted || !first, 0
+	w.restarted = w.restarted || !first
 	w.incarnation = reply.StartedAt
 	w.lastEndSeen = 0
 	w.lastEndStored = 0
--- a/dispatcher/restart.go
+++ b/dispatcher/restart.go
@@ -20,8 +20,8 @@
 }
 
 // unheardLeaseEnd returns the time at which the lease of an incarnation of a worker that has
-// not answered yet has certainly ended, if the worker's entry tells of one. No order that
-// extends a lease is sent to it.
+// not answered yet has certainly ended, if the worker's entry tells of one. From then on
+// nothing that extends a lease is sent to it.
 func (d *Dispatcher) unheardLeaseEnd(w *worker) time.Duration {
 	if w.restartSeenAt == 0 {
 		return 0
--- a/dispatcher/restart_test.go
+++ b/dispatcher/restart_test.go
@@ -157,3 +157,42 @@
 	s.renewAll()
 	assert.Equal(t, uint64(1), s.d.Counters().Suspects)
 }
+
+// Guards against a renewal by the clock of a worker's earlier process, which gives the next
+// one the longest lease, and against one that acknowledges the earlier one's ends to it.
+func TestRenewalOfAProcessThatWasNotHeard(t *testing.T) {
+	s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+	s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+	s.endRun("w0", starts(s.planAndApply())["w0"][0], briarspring.RunDone)
+	s.renewAll()
+	s.store()
+	assertBare := func(bare bool) {
+		t.Helper()
+		req, ok := s.d.NextRenewal(s.now, "w0")
+		require.True(t, ok)
+		assert.Equal(t, bare, req.Until == 0, "no deadline")
+		assert.Equal(t, bare, req.LastSeenEnd == 0, "no acknowledgement")
+	}
+	assertBare(false)
+	entry := s.workers["w0"].entry
+	entry.StartedAt = 2
+	s.d.SetWorkers(s.now, []briarspring.WorkerEntry{entry})
+	assertBare(true)
+	s.d.RenewalFailed(s.now, "w0", briarspring.VerdictUnanswered)
+	assertBare(true)
+}
+
+// Guards against a worker that gets no starts any more, since its entry names another process
+// than its answers do.
+func TestStartsOnAWorkerWithAnOddEntry(t *testing.T) {
+	s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+	entry := s.workers["w0"].entry
+	entry.StartedAt = 9
+	s.d.SetWorkers(s.now, []briarspring.WorkerEntry{entry})
+	s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+	assert.Empty(t, starts(s.planAndApply()), "it has not answered since")
+	s.now += 100 * time.Millisecond
+	s.renewAll()
+	s.d.SetWorkers(s.now, []briarspring.WorkerEntry{entry})
+	assert.Equal(t, 1, countRuns(starts(s.planAndApply())))
+}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -155,7 +155,7 @@
 		d.logger.Info("worker's state changed", "worker", e.ID, "draining", e.Draining, "remaining-ms", e.Remaining.Milliseconds())
 	}
 	w.gone = w.gone && e.StartedAt == w.entry.StartedAt && e.Address == w.entry.Address
-	if w.restartSeenAt == 0 && w.incarnation > 0 && e.StartedAt > w.incarnation {
+	if w.incarnation > 0 && e.StartedAt > w.incarnation && e.StartedAt != w.entry.StartedAt {
 		w.restartSeenAt = d.now
 	}
 	w.listed = true
