Test: clients without a certificate at a scheduler's peers' address

Cause: the peers' address is a further one of a scheduler that clients may reach.

Change: TestSchedulerClientLimits/peers-without-certificate: 400 clients connect over QUIC without a certificate, with the bounds of the other kinds. The product is unchanged.

--- a/cmd/briarspring/limits_test.go
+++ b/cmd/briarspring/limits_test.go
@@ -70,6 +70,7 @@
 		{"the metrics", http.MethodGet, p.schedAdmin[0], "/debug/vars"},
 	}}
 	l.run(t)
+	t.Run("peers-without-certificate", l.runPeers)
 }
 
 // kill kills a process.
