limiter: responses close their connections while others are refused

Change: while the last connection was refused, responses have Connection: close. TestPipelinedRequests has such clients on every connection of a door and failed 5 of 5 times before (five requests refused); 10 of 10 pass now.

--- a/limiter/door.go
+++ b/limiter/door.go
@@ -10,10 +10,11 @@
 
 // Door limits the clients of one listening address.
 type Door struct {
-	limiter *Limiter
-	config  DoorConfig
-	pool    *pool              // Guarded by limiter.mu.
-	conns   map[*holding]*Conn // Guarded by limiter.mu.
+	limiter  *Limiter
+	config   DoorConfig
+	pool     *pool              // Guarded by limiter.mu.
+	conns    map[*holding]*Conn // Guarded by limiter.mu.
+	refusing bool               // The last connection was refused. Guarded by limiter.mu.
 }
 
 // Listen returns a listener that admits connections within the door's limits.
@@ -64,6 +65,10 @@
 			// Shed while its header was being parsed: it was told that it has not run.
 			panic(http.ErrAbortHandler)
 		}
+		if d.isRefusing() {
+			// Requests may follow each other without a pause in which the connection is idle.
+			rw.Header().Set("Connection", "close")
+		}
 		defer c.setPhase(phaseDraining)
 		next.ServeHTTP(rw, req)
 	})
@@ -104,6 +109,13 @@
 	}
 }
 
+// isRefusing reports whether the last connection was refused.
+func (d *Door) isRefusing() bool {
+	d.limiter.mu.Lock()
+	defer d.limiter.mu.Unlock()
+	return d.refusing
+}
+
 // admit returns the limited connection, or nil if there is no room for it.
 func (d *Door) admit(c net.Conn) *Conn {
 	l := d.limiter
@@ -112,6 +124,7 @@
 	now := l.config.Now()
 	h, victims := d.pool.connect(now)
 	d.evict(victims, "room for a connection", now)
+	d.refusing = h == nil
 	if h == nil {
 		l.record("refused-connection", d, "client", c.RemoteAddr().String())
 		return nil
--- a/limiter/door_test.go
+++ b/limiter/door_test.go
@@ -49,6 +49,10 @@
 		_, _ = rw.Write(make([]byte, 16*kB)) // Fails when the client is shed.
 		return
 	}
+	if req.URL.Path == "/slow" {
+		time.Sleep(slowTime)
+		return
+	}
 	body, err := ReadBody(rw, req, 256*kB)
 	var refused *RefusedError
 	if errors.As(err, &refused) {
@@ -63,6 +67,9 @@
 	_, _ = rw.Write(body) // The client may have disconnected.
 }
 
+// slowTime is how long a slow request is carried out.
+const slowTime = 20 * time.Millisecond
+
 // send opens a connection and sends bytes.
 func (d *doorTest) send(t *testing.T, text string) net.Conn {
 	c, err := net.Dial("tcp", d.address)
@@ -207,3 +214,23 @@
 		}, 5*time.Second, 10*time.Millisecond)
 	}
 }
+
+// Guards against clients that keep all connections of a door by requests that follow each other
+// without a pause, so that none is ever idle.
+func TestPipelinedRequests(t *testing.T) {
+	const connections, requests = 4, 500
+	d := newDoorTest(t, DoorConfig{Bytes: 1024 * kB, Connections: connections})
+	for range connections {
+		d.send(t, strings.Repeat("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n", requests))
+	}
+	require.Eventually(t, func() bool { return d.limiter.Snapshot()["test/connections"] == connections }, 5*time.Second, time.Millisecond)
+	served := false
+	for range 5 {
+		resp, err := http.Get("http://" + d.address + "/unread")
+		require.NoError(t, err)
+		resp.Body.Close()
+		served = served || resp.StatusCode == http.StatusOK
+		time.Sleep(10 * slowTime)
+	}
+	assert.True(t, served)
+}
