review: a start for an executor's former life runs twice

Case 6: an owner forgets a start that got no answer once a stop of it was answered, and does not stop it again at the executor's next process, which takes the start when it arrives. Adds a relay to the stand-ins, and the play of case 10.

--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"time"
 )
@@ -23,6 +25,8 @@
 	"long-tasks":  longTasks,
 	"bounce":      bounce,
 	"rack-power":  rackPower,
+	"former-life": formerLife,
+	"cancel":      cancelled,
 }
 
 // oddKeyBytes is the length of the odd entry's key.
@@ -40,6 +44,9 @@
 		return exitCannotRun
 	}
 	defer s.close()
+	if name == "former-life" {
+		s.relay = &relay{logf: s.logf, held: make(chan string, 1)}
+	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	s.logf("case %s, disruption: %t", name, trouble)
 	v, err := play(s, trouble)
@@ -441,3 +448,152 @@
 		s.events = append(s.events, k)
 	}
 }
+
+// formerLife hands in a job of one task beside others. With the disruption, the executor
+// leaves the first start of the task unanswered, crashes 3 s later, is back under its ID
+// 0.6 s after that, and carries the order out 6 s after it was sent.
+func formerLife(s *site, trouble bool) (verdict, error) {
+	if err := s.build(4, kindA); err != nil {
+		return verdict{}, err
+	}
+	const late, crashAfter, down, work = 6 * time.Second, 3 * time.Second, 600 * time.Millisecond, 20 * time.Second
+	job := func(count int, work time.Duration) map[string]any {
+		return map[string]any{
+			"specification": fmt.Sprintf("work=%d how=done", work.Milliseconds()),
+			"steps":         []map[string]any{{"count": count, "cpu": 1000, "taskMemoryMb": 2000, "estimatedMs": work.Milliseconds()}},
+		}
+	}
+	for i := range s.hosts {
+		if _, err := s.submit(i, "/lohu930/", job(8, 2*time.Second)); err != nil {
+			return verdict{}, err
+		}
+	}
+	// One task on each executor of the zone, so that what a crash sets free goes to the others.
+	others := job(4, time.Minute)
+	others["steps"].([]map[string]any)[0]["antiAffinity"] = 1
+	if _, err := s.submit(0, "/lohu930/", others); err != nil {
+		return verdict{}, err
+	}
+	id := newID()
+	if trouble {
+		s.relay.holdStart(id, late)
+	}
+	if status, _ := s.call(s.hosts[0], http.MethodPost, "/lohu930/"+id, job(1, work)); status != http.StatusOK {
+		return verdict{}, fmt.Errorf("the job was answered with %d", status)
+	}
+	if trouble {
+		address := ""
+		select {
+		case address = <-s.relay.held:
+		case <-time.After(5 * time.Second):
+			return verdict{}, errors.New("no start of the task was ordered")
+		}
+		// While the executor is passed over, this makes another one the first choice.
+		time.Sleep(time.Second)
+		if _, err := s.submit(0, "/lohu930/", job(1, time.Minute)); err != nil {
+			return verdict{}, err
+		}
+		time.Sleep(crashAfter - time.Second)
+		for _, e := range s.executors {
+			if e.address != address {
+				continue
+			}
+			s.kill(e.process)
+			s.lostRuns(e)
+			time.Sleep(down)
+			if err := s.startExecutor(e); err != nil {
+				return verdict{}, err
+			}
+		}
+	}
+	time.Sleep(work + 10*time.Second)
+	overlap, starts := s.longestOverlap(id)
+	if starts == 0 {
+		return verdict{}, errors.New("the task never started")
+	}
+	return verdict{broken: overlap > 0, text: fmt.Sprintf("%d starts of the task; two runs of it at the same time for %d ms; state %q",
+		starts, overlap.Milliseconds(), s.state("/lohu930/", id))}, nil
+}
+
+// longestOverlap returns the longest time for which two runs of one task of a job were
+// alive, and the number of starts.
+func (s *site) longestOverlap(id string) (longest time.Duration, starts int) {
+	type span struct{ from, to int64 }
+	spans := map[string][]*span{}
+	open := map[string]*span{}
+	for _, v := range s.eventsOf(id + ".") {
+		run := fmt.Sprint(v.Executor, v.Born, v.Task, v.Run)
+		switch v.Event {
+		case "start":
+			starts++
+			n := &span{from: v.At, to: time.Now().UnixMilli()}
+			open[run] = n
+			spans[v.Task] = append(spans[v.Task], n)
+		case "end":
+			if open[run] != nil {
+				open[run].to = v.At
+			}
+		}
+	}
+	for _, list := range spans {
+		for i, a := range list {
+			for _, b := range list[:i] {
+				longest = max(longest, time.Duration(min(a.to, b.to)-max(a.from, b.from))*time.Millisecond)
+			}
+		}
+	}
+	return longest, starts
+}
+
+// cancelled hands in a job, gives up after 500 ms without an answer and cancels the job at
+// another host. With the disruption, the store's answer to the first write of the job is
+// lost, and the write is carried out 4 s later.
+func cancelled(s *site, trouble bool) (verdict, error) {
+	if err := s.build(3, kindA); err != nil {
+		return verdict{}, err
+	}
+	const late, patience, work = 4 * time.Second, 500 * time.Millisecond, 25 * time.Second
+	const cancelTime, stopTime, contactTime = 3 * time.Second, 200 * time.Millisecond, 3 * time.Second
+	job := func(work time.Duration) map[string]any {
+		return map[string]any{
+			"specification": fmt.Sprintf("work=%d how=done", work.Milliseconds()),
+			"steps":         []map[string]any{{"count": 1, "cpu": 1000, "taskMemoryMb": 2000, "estimatedMs": work.Milliseconds()}},
+		}
+	}
+	for i := range 6 {
+		if _, err := s.submit(i, "/lohu930/", job(time.Second)); err != nil {
+			return verdict{}, err
+		}
+	}
+	id := newID()
+	if trouble {
+		s.store.makeLate("j/"+id, late, func(key string) { s.logf("store: the write of %s gets no answer and is done %s later", key, late) })
+	}
+	calm := time.Now().Add(late + contactTime) // The late write and contactMs are over.
+	s.callWithin(patience, s.hosts[0], http.MethodPost, "/lohu930/"+id, job(work))
+	status := 0
+	for i := 1; status/100 != 2 && status != http.StatusGone; i++ {
+		if i > 5 {
+			return verdict{}, errors.New("the cancellation was not acknowledged")
+		}
+		status, _ = s.call(s.hosts[i%len(s.hosts)], http.MethodDelete, "/lohu930/"+id, nil)
+	}
+	acknowledged := time.Now()
+	time.Sleep(work + 5*time.Second)
+	bound := max(acknowledged.Add(cancelTime+stopTime).UnixMilli(), calm.UnixMilli())
+	ran := time.Duration(0)
+	since := map[string]int64{}
+	for _, v := range s.eventsOf(id + ".") {
+		switch v.Event {
+		case "start":
+			since[v.Task] = v.At
+		case "end":
+			ran = max(ran, time.Duration(v.At-max(since[v.Task], bound))*time.Millisecond)
+			delete(since, v.Task)
+		}
+	}
+	for _, at := range since {
+		ran = max(ran, time.Duration(time.Now().UnixMilli()-max(at, bound))*time.Millisecond)
+	}
+	return verdict{broken: ran > 0, text: fmt.Sprintf("cancellation acknowledged with %d; a task of the job ran for %.1f s after cancel_ms, stopMs and the disruption", status, ran.Seconds())}, nil
+}
--- a/review/stand-2/executor.go
+++ b/review/stand-2/executor.go
@@ -61,10 +61,10 @@
 
 // executor is one life of an executor, as the protocol page describes it.
 type executor struct {
-	id, address, store, zone, service string
-	labels                            []string
-	cpu, memory                       int
-	born                              time.Time
+	id, address, entry, store, zone, service string // entry is the address that its entry tells.
+	labels                                   []string
+	cpu, memory                              int
+	born                                     time.Time
 
 	mu       sync.Mutex
 	out      *json.Encoder
@@ -84,6 +84,7 @@
 	flags := flag.NewFlagSet("executor", flag.ContinueOnError)
 	flags.StringVar(&e.id, "id", "", "id")
 	flags.StringVar(&e.address, "address", "", "address")
+	flags.StringVar(&e.entry, "entry", "", "address in its entry")
 	flags.StringVar(&e.store, "store", "", "address of the store")
 	flags.StringVar(&e.zone, "zone", "", "zone")
 	flags.StringVar(&e.service, "service", "", "service")
@@ -122,7 +123,7 @@
 		e.mu.Lock()
 		e.sequence++
 		entry := map[string]any{
-			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+			"service": e.service, "address": e.entry, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
 			"capacity": map[string]int{"cpu": e.cpu, "taskMemoryMb": e.memory, "gpu": 0}, "labels": e.labels,
 			"clockMs": e.clock().Milliseconds(), "born": e.born.UnixMilli(), "sequence": e.sequence,
 		}
@@ -255,6 +256,9 @@
 
 func (e *executor) stop(rw http.ResponseWriter, k runKey) {
 	e.highest[k.task] = max(e.highest[k.task], k.run)
+	if e.runs[k] == nil {
+		e.print(event{Event: "stop", Task: k.task, Run: k.run, How: "not there"})
+	}
 	if r := e.runs[k]; r != nil && !r.stopping {
 		r.stopping = true
 		e.print(event{Event: "stop", Task: k.task, Run: k.run})
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -37,6 +37,7 @@
 	zones     []string
 	store     *store
 	storeAddr string
+	relay     *relay // Between hosts and executors; nil for none.
 	done      chan struct{}
 	hosts     []*process
 	executors []*executorProcess
@@ -57,7 +58,7 @@
 // executorProcess is an executor and its present life.
 type executorProcess struct {
 	*process
-	id, zone, rack, kind, address string
+	id, zone, rack, kind, address, entry string
 }
 
 // queue is a route of the operator's configuration.
@@ -224,7 +225,13 @@
 		return err
 	}
 	e.address = listener.Addr().String()
+	e.entry = e.address
 	listener.Close()
+	if s.relay != nil {
+		if e.entry, err = s.relay.serve(e.ip, e.address); err != nil {
+			return err
+		}
+	}
 	s.executors = append(s.executors, e)
 	return s.startExecutor(e)
 }
@@ -235,7 +242,7 @@
 	if err != nil {
 		return err
 	}
-	return s.start(e.process, nil, s.addEvent, self, "executor", "-id", e.id, "-address", e.address, "-store", s.storeAddr,
+	return s.start(e.process, nil, s.addEvent, self, "executor", "-id", e.id, "-address", e.address, "-entry", e.entry, "-store", s.storeAddr,
 		"-zone", e.zone, "-service", service, "-labels", e.kind+","+e.rack)
 }
 
@@ -317,7 +324,12 @@
 // call sends a client's request to a host and returns the status and the body, or 0 if
 // there was no answer.
 func (s *site) call(host *process, method, path string, body any) (int, map[string]any) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	return s.callWithin(3*time.Second, host, method, path, body)
+}
+
+// callWithin is call for a client that leaves after a time.
+func (s *site) callWithin(patience time.Duration, host *process, method, path string, body any) (int, map[string]any) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	data, _ := json.Marshal(body)
 	if body == nil {
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -54,6 +55,10 @@
 	mu      sync.Mutex
 	topics  map[string]*topicLog
 	expires map[string]time.Time // Of executors' entries, by key.
+
+	lateKey   string        // The first append with a key that begins so is late; empty for none.
+	lateDelay time.Duration // By so much; it gets no answer.
+	lateNote  func(key string)
 }
 
 func newStore() *store {
@@ -69,6 +74,27 @@
 	return t
 }
 
+// makeLate has one append carried out late and without an answer.
+func (s *store) makeLate(keyPrefix string, delay time.Duration, note func(key string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateKey, s.lateDelay, s.lateNote = keyPrefix, delay, note
+}
+
+// isLate reports whether an append is to be late, once.
+func (s *store) isLate(records []storeRecord) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		if s.lateKey != "" && strings.HasPrefix(r.key, s.lateKey) {
+			s.lateKey = ""
+			s.lateNote(r.key)
+			return s.lateDelay, true
+		}
+	}
+	return 0, false
+}
+
 // put writes a record as the operator or another writer does.
 func (s *store) put(topic, key string, value []byte) {
 	s.mu.Lock()
@@ -182,6 +208,15 @@
 		writeJSON(rw, http.StatusForbidden, map[string]string{"reason": "topic"})
 		return
 	}
+	if delay, ok := s.isLate(records); ok {
+		time.AfterFunc(delay, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.topic(topic).add(records)
+		})
+		<-req.Context().Done()
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(topic)
