--- /dev/null
+++ b/dispatcher/former_start.go
@@ -0,0 +1,66 @@
+package dispatcher
+
+import (
+	"time"
+
+	"briarspring"
+)
+
+// lateStartTime is how long after it was sent a start without an answer may still be carried
+// out: as long as other calls, and a moment more since it may be sent late.
+const lateStartTime = formerCallTime + time.Second
+
+// pendingStart is a start that was sent and that may still be carried out, by the process
+// that it was sent to or by the worker's next one. It outlives its run, which is given up
+// once the present process has refused the start.
+type pendingStart struct {
+	sentAt      time.Duration
+	incarnation int64 // Process that it was sent to.
+	refusedBy   int64 // Last process that has answered a stop of the run.
+	stopSentAt  time.Duration
+}
+
+// startSent records that a start is on its way.
+func (w *worker) startSent(now time.Duration, run briarspring.RunRef) {
+	if w.pendingStarts == nil {
+		w.pendingStarts = map[briarspring.RunRef]*pendingStart{}
+	}
+	w.pendingStarts[run] = &pendingStart{sentAt: now, incarnation: w.incarnation}
+}
+
+// startSettled records that a start was carried out or refused.
+func (w *worker) startSettled(run briarspring.RunRef) { delete(w.pendingStarts, run) }
+
+// stopAnswered records the outcome of a stop, which makes a process refuse a start that
+// arrives later.
+func (w *worker) stopAnswered(run briarspring.RunRef, incarnation int64, done bool) {
+	p := w.pendingStarts[run]
+	switch {
+	case p == nil:
+	case done:
+		p.refusedBy = incarnation
+	default:
+		p.stopSentAt = 0 // Sent again with the next reply.
+	}
+}
+
+// stopFormerStarts stops the runs that starts for a former process of a worker may begin in
+// the present one, which knows of no earlier stop. Those of known runs are stopped with
+// their run.
+func (d *Dispatcher) stopFormerStarts(w *worker) {
+	for run, p := range w.pendingStarts {
+		switch {
+		case d.now-p.sentAt > lateStartTime:
+			delete(w.pendingStarts, run)
+		case p.incarnation == w.incarnation || p.refusedBy == w.incarnation || w.runs[run] != nil:
+		case p.stopSentAt == 0 || d.now-p.stopSentAt > stopRetryInterval:
+			p.stopSentAt = d.now
+			d.logger.Info("stopping a start for a former process", "workflow", run.Task.Workflow, "step", run.Task.Step, "index", run.Task.Index,
+				"run", run.Run, "worker", w.id, "born", w.incarnation, "sent-to", p.incarnation, "age-ms", (d.now - p.sentAt).Milliseconds())
+			d.orders = append(d.orders, Order{
+				Kind: OrderStop, Worker: w.id, Address: w.entry.Address,
+				Stop: briarspring.StopOrder{Run: run, Token: d.config.Token}, incarnation: w.incarnation,
+			})
+		}
+	}
+}
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -135,15 +135,18 @@
 	for _, e := range reply.Ended {
 		if e.Number > w.lastEndSeen {
 			w.lastEndSeen = e.Number
+			w.startSettled(e.Run)
 			d.handleEnd(w, e)
 		}
 	}
 	listed := map[briarspring.RunRef]bool{}
 	for _, t := range reply.Running {
 		listed[t.Run] = true
+		w.startSettled(t.Run)
 		d.handleRunning(w, sent, t)
 	}
 	d.checkUnlisted(w, sent, listed)
+	d.stopFormerStarts(w)
 	if !w.reported && !w.moreEnds && w.clock-w.heardSince >= reportTime {
 		w.reported = true
 		d.needsPlan = true
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -22,6 +22,12 @@
 	if o.Kind == OrderStart && v == briarspring.VerdictDone {
 		d.noteAccepted(w, o.Start.Run)
 	}
+	if o.Kind == OrderStart && v != briarspring.VerdictUnanswered {
+		w.startSettled(o.Start.Run)
+	}
+	if o.Kind == OrderStop {
+		w.stopAnswered(o.Stop.Run, o.incarnation, v == briarspring.VerdictDone || v == briarspring.VerdictStaleRun)
+	}
 	r := w.runs[o.Run()]
 	if r == nil {
 		return
@@ -131,6 +137,7 @@
 	r.since = d.now
 	r.startBy = w.clockNow(d.now) + startWindow
 	w.leaseUntil = max(w.leaseUntil, r.startBy)
+	w.startSent(d.now, r.ref)
 	d.orders = append(d.orders, Order{
 		Kind: OrderStart, Worker: w.id, Address: w.entry.Address,
 		Start: briarspring.StartOrder{
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -64,6 +64,7 @@
 
 	runs           map[briarspring.RunRef]*run
 	orphans        map[briarspring.RunRef]time.Duration // Runs of unknown tasks, with the time their stop was sent.
+	pendingStarts  map[briarspring.RunRef]*pendingStart
 	reserved       briarspring.Resources
 	view           *runView // Nil if it has to be computed.
 	bestEffortCPU  int64    // Declared millicores of best-effort tasks, scaled by their pace.
