--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -80,6 +80,9 @@
 	// catchUpTimeout limits the wait for a read of the shared state, which may follow
 	// one that waits up to 0.6 s for a record.
 	catchUpTimeout = 1600 * time.Millisecond
+	// maxSubmitTime limits the attempts to store a submission. It is well below the time
+	// for which a cancellation of an unknown workflow is remembered.
+	maxSubmitTime = 30 * time.Second
 	// catchUpInterval is the polling interval of catchUp.
 	catchUpInterval = 10 * time.Millisecond
 )
@@ -242,13 +245,18 @@
 
 func (a *Admitter) submit(ctx context.Context, c Caller, w *briarspring.Workflow) error {
 	q := c.Queue
-	if owner, known := a.ownerOf(w.ID); known {
-		if !c.sees(owner) {
-			return a.takenError(&c, w.ID, owner)
-		}
+	owner, known := a.ownerOf(w.ID)
+	if known && c.sees(owner) {
 		a.config.Logger.Info("submission repeated", c.logFields("workflow", w.ID)...)
 		return nil
 	}
+	if err := a.checkCancelled(w); err != nil {
+		a.config.Logger.Info("submission refused", c.logFields("workflow", w.ID, "queue", q.Name, "error", err)...)
+		return err
+	}
+	if known {
+		return a.takenError(&c, w.ID, owner)
+	}
 	// The queue may have been found in an earlier version, not in a later one.
 	version := a.directoryVersion()
 	w.Queue, w.Service, w.Priority = q.Name, q.Service, q.Priority
@@ -273,8 +281,15 @@
 	if err := a.checkGangs(&c, w); err != nil {
 		return err
 	}
-	err = a.store(ctx, &c, w.ID, func() briarspring.KeyedRecord {
-		return briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID, registrar.NewAttemptID()), Value: value}
+	storeCtx, cancel := context.WithTimeout(ctx, maxSubmitTime)
+	defer cancel()
+	err = a.store(storeCtx, &c, decision{
+		workflow: w.ID,
+		record: func() briarspring.KeyedRecord {
+			return briarspring.KeyedRecord{Key: registrar.SubmissionKey(w.ID, registrar.NewAttemptID()), Value: value}
+		},
+		stored:    func() bool { return a.isKnown(w.ID) },
+		withdrawn: func() error { return a.checkCancelled(w) },
 	})
 	age, _ := a.config.Reading.Age()
 	a.config.Logger.Info("submission", c.logFields("workflow", w.ID, "queue", q.Name, "data-centre", w.DataCentre, "tasks", w.TaskCount(),
@@ -353,25 +368,39 @@
 	return nil
 }
 
+// decision is a record of a workflow that has to be stored.
+type decision struct {
+	workflow briarspring.WorkflowID
+	record   func() briarspring.KeyedRecord // Called for each attempt.
+	stored   func() bool                    // Reports whether the shared state shows it.
+	// withdrawn returns why the record has no effect any more, wherever it was written
+	// before, or nil. Optional.
+	withdrawn func() error
+}
+
 // store retries a write until the record is stored, the context ends, or, after an
-// attempt without a definite answer, the workflow appears in the shared state. Each
-// attempt calls record again, and needs that the caller's key still counts.
-func (a *Admitter) store(ctx context.Context, c *Caller, id briarspring.WorkflowID, record func() briarspring.KeyedRecord) error {
+// attempt without a definite answer, the shared state shows it. Each attempt needs that
+// the caller's key still counts.
+func (a *Admitter) store(ctx context.Context, c *Caller, d decision) error {
 	unknown := false
-	known := a.isKnown(id)
 	for {
+		if d.withdrawn != nil {
+			if err := d.withdrawn(); err != nil {
+				return err
+			}
+		}
 		if err := a.recheck(c); err != nil && unknown {
-			return &briarspring.NoAnswerError{Call: "store a decision on " + string(id), Cause: err}
+			return &briarspring.NoAnswerError{Call: "store a decision on " + string(d.workflow), Cause: err}
 		} else if err != nil {
 			return err
 		}
-		err := a.config.Shared.Write(ctx, record())
+		err := a.config.Shared.Write(ctx, d.record())
 		if err == nil {
 			return nil
 		}
 		var refused *briarspring.NotExecutedError
 		unknown = unknown || !errors.As(err, &refused)
-		if unknown && !known && a.isKnown(id) {
+		if unknown && d.stored() {
 			return nil
 		}
 		if !unknown && !a.Reachable() {
@@ -381,7 +410,7 @@
 			continue
 		}
 		if unknown {
-			return &briarspring.NoAnswerError{Call: "store a decision on " + string(id), Cause: err}
+			return &briarspring.NoAnswerError{Call: "store a decision on " + string(d.workflow), Cause: err}
 		}
 		return &RefusedError{Reason: refused.Reason, RetryAfter: a.retryAfter()}
 	}
@@ -448,24 +477,3 @@
 	}
 	return &RefusedError{Reason: "the shared state is too old to tell", RetryAfter: a.retryAfter()}
 }
-
-// Cancel cancels a workflow; known is false if it doesn't exist. The error is a
-// *RefusedError or a *briarspring.NoAnswerError.
-func (a *Admitter) Cancel(ctx context.Context, id briarspring.WorkflowID) (known bool, err error) {
-	phase, known, err := a.Phase(ctx, id)
-	return a.cancel(ctx, &Caller{}, id, phase, known, err)
-}
-
-// cancel cancels a workflow whose phase was looked up.
-func (a *Admitter) cancel(ctx context.Context, c *Caller, id briarspring.WorkflowID, phase briarspring.Phase, known bool, err error) (bool, error) {
-	if err != nil || !known || phase.Final() {
-		return known, err
-	}
-	start := time.Now()
-	defer func() { a.outcomes.Observe("cancel", outcomeOf(err), time.Since(start)) }()
-	err = a.store(ctx, c, id, func() briarspring.KeyedRecord {
-		return briarspring.KeyedRecord{Key: registrar.CancelKey(id), Value: []byte{1}}
-	})
-	a.config.Logger.Info("cancellation", c.logFields("workflow", id, "phase", phase.String(), "stored", err == nil, "error", err)...)
-	return true, err
-}
--- a/admitter/caller.go
+++ b/admitter/caller.go
@@ -188,13 +188,6 @@
 	return phase, known, err
 }
 
-// CancelFor cancels a caller's workflow as Cancel does; those of other organisations
-// don't exist. The error may also be a *KeyError.
-func (a *Admitter) CancelFor(ctx context.Context, c Caller, id briarspring.WorkflowID) (known bool, err error) {
-	phase, known, err := a.PhaseFor(ctx, c, id)
-	return a.cancel(ctx, &c, id, phase, known, err)
-}
-
 // ownerOf returns the organisation of a workflow, or false if this host knows no such
 // workflow.
 func (a *Admitter) ownerOf(id briarspring.WorkflowID) (organisation string, known bool) {
--- a/admitter/caller_test.go
+++ b/admitter/caller_test.go
@@ -332,11 +332,17 @@
 		assertKnown(t, false, birch, "1")
 		assertKnown(t, false, nobody, "1")
 		for _, c := range []Caller{birch, nobody} {
-			known, err := b.CancelFor(t.Context(), c, "1")
-			require.NoError(t, err)
-			assert.False(t, known)
+			for _, id := range []briarspring.WorkflowID{"1", "8"} {
+				known, err := b.CancelFor(t.Context(), c, id)
+				require.NoError(t, err)
+				assert.False(t, known)
+				assert.Equal(t, writes+1, b.shared.writes, "a foreign workflow takes as many writes as an unknown one")
+				writes = b.shared.writes
+			}
 		}
-		assert.Equal(t, writes, b.shared.writes)
+		phase, _, err := b.PhaseFor(t.Context(), acme, "1")
+		require.NoError(t, err)
+		assert.Equal(t, briarspring.PhaseQueued, phase)
 	})
 	t.Run("are answered like unknown ones when the state is too old", func(t *testing.T) {
 		fresh := b.config.Reading
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -154,6 +154,21 @@
 	return briarspring.Phase(m.Phase), nil
 }
 
+// EncodeEarlyCancellation encodes the cancellation of a workflow that is not known yet.
+func EncodeEarlyCancellation(c briarspring.EarlyCancellation) ([]byte, error) {
+	return proto.Marshal(&pb.EarlyCancellation{DataCentre: c.DataCentre, Organisation: c.Organisation, Limited: c.Limited})
+}
+
+// DecodeEarlyCancellation decodes the cancellation of a workflow that is not known yet;
+// errors are *MalformedError.
+func DecodeEarlyCancellation(data []byte) (briarspring.EarlyCancellation, error) {
+	var m pb.EarlyCancellation
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return briarspring.EarlyCancellation{}, &MalformedError{Input: "early cancellation", Cause: err}
+	}
+	return briarspring.EarlyCancellation{DataCentre: m.DataCentre, Organisation: m.Organisation, Limited: m.Limited}, nil
+}
+
 // EncodeDataCentreClaim encodes an owner's claim to a data centre.
 func EncodeDataCentreClaim(c briarspring.DataCentreClaim) ([]byte, error) {
 	return proto.Marshal(&pb.DataCentreClaim{
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -22,6 +22,7 @@
 	prefixRetire     = "q/"
 	prefixInventory  = "i/"
 	prefixEnd        = "e/"
+	prefixEarly      = "x/"
 	prefixDirectory  = "d/"
 
 	prefixQuotaPool    = "gp/"
@@ -47,6 +48,16 @@
 // CancelKey returns the key of a workflow's cancellation.
 func CancelKey(id briarspring.WorkflowID) string { return prefixCancel + string(id) }
 
+// EarlyCancelKey returns the key of the cancellation of a workflow that was not known where
+// it was requested. Repeated requests share a key, those of other organisations don't.
+func EarlyCancelKey(id briarspring.WorkflowID, c briarspring.EarlyCancellation) string {
+	key := prefixEarly + string(id) + "/"
+	if c.Limited {
+		key += "=" + url.PathEscape(c.Organisation)
+	}
+	return key
+}
+
 // RunningKey returns the key of the record that a workflow has started.
 func RunningKey(id briarspring.WorkflowID) string { return prefixRunning + string(id) }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -80,6 +80,7 @@
 	inventories map[string]Inventory // By data centre.
 	directory   map[string][]uint64  // See DirectoryCopies.
 	quota       *quotaState
+	early       *earlyCancellations
 }
 
 // New returns the state before the first record.
@@ -93,6 +94,7 @@
 		inventories: map[string]Inventory{},
 		directory:   map[string][]uint64{},
 		quota:       newQuotaState(),
+		early:       newEarlyCancellations(),
 	}
 }
 
@@ -166,6 +168,7 @@
 // everything from end on.
 func (r *Registry) Restore(now time.Duration, records []briarspring.KeyedRecord, end uint64) ([]Change, []error) {
 	clear(r.directory)
+	r.early = newEarlyCancellations()
 	records = slices.Clone(records)
 	slices.SortFunc(records, func(a, b briarspring.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	kept := map[briarspring.WorkflowID]bool{}
@@ -225,6 +228,9 @@
 		r.applyDirectoryCopy(rec)
 		return Change{}, nil
 	}
+	if kind == prefixEarly {
+		return r.applyEarlyCancellation(now, workflowIDOf(rest), rec)
+	}
 	if kind == prefixQuotaPool || kind == prefixQuotaGrant || kind == prefixQuotaRequest {
 		return Change{}, r.applyQuota(kind, rest, rec)
 	}
@@ -236,7 +242,7 @@
 	}
 	switch kind {
 	case prefixSubmission:
-		return r.applySubmission(workflowIDOf(rest), rec)
+		return r.applySubmission(now, workflowIDOf(rest), rec)
 	case prefixCancel:
 		return r.applyCancellation(now, briarspring.WorkflowID(rest))
 	case prefixRunning, prefixFinal:
@@ -277,7 +283,7 @@
 
 // applySubmission keeps the first submission of a workflow ID and ignores later
 // ones as retries.
-func (r *Registry) applySubmission(id briarspring.WorkflowID, rec briarspring.KeyedRecord) (Change, error) {
+func (r *Registry) applySubmission(now time.Duration, id briarspring.WorkflowID, rec briarspring.KeyedRecord) (Change, error) {
 	e := r.entry(id)
 	e.keys = append(e.keys, rec.Key)
 	if e.workflow != nil {
@@ -291,6 +297,9 @@
 	e.offset = rec.Offset
 	r.addWaiting(e, 1)
 	r.addLongRunning(e, 1)
+	if r.early.cancels(w) {
+		return r.applyCancellation(now, id)
+	}
 	return Change{Workflow: id}, nil
 }
 
@@ -402,6 +411,7 @@
 		limit--
 		keys = append(keys, CancelKey(id), RunningKey(id), FinalKey(id))
 		keys = append(keys, e.keys...)
+		keys = append(keys, r.early.keysFor(e.workflow)...)
 	}
-	return keys
+	return append(keys, r.expiredEarly(now, keep, dataCentre, limit)...)
 }
--- a/stream.go
+++ b/stream.go
@@ -43,6 +43,19 @@
 	Sequence uint64 // Increases by one with each append in the epoch.
 }
 
+// EarlyCancellation cancels a workflow that was not known where its cancellation was
+// requested. The submission may follow in the stream, as late as a write may take effect.
+type EarlyCancellation struct {
+	DataCentre   string // Its owner removes the record once it has expired.
+	Organisation string // Of the caller; empty for none.
+	Limited      bool   // The caller sees only workflows of its organisation, and those without one.
+}
+
+// AppliesTo reports whether a workflow of an organisation, empty for none, is cancelled.
+func (c EarlyCancellation) AppliesTo(organisation string) bool {
+	return !c.Limited || organisation == "" || organisation == c.Organisation
+}
+
 // DataCentreClaim makes a host the owner of a data centre's workers if it
 // follows the current claim.
 type DataCentreClaim struct {
