--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -40,8 +40,9 @@
 
 	mu         sync.Mutex
 	workflows  map[briarspring.WorkflowID]*briarspring.Workflow
-	failing    map[briarspring.TaskRef]int     // Number of runs that fail before one succeeds.
-	crashing   map[briarspring.WorkflowID]bool // Their first task crashes each worker that starts it.
+	failing    map[briarspring.TaskRef]int                                  // Number of runs that fail before one succeeds.
+	lasting    func(briarspring.RunRef) (time.Duration, briarspring.RunEnd) // Of long-running tasks; nil if they don't end by themselves.
+	crashing   map[briarspring.WorkflowID]bool                              // Their first task crashes each worker that starts it.
 	hosts      map[string]*testHost
 	limit      func(organisation string) briarspring.Resources // Checked at each start; set before the first one, or nil.
 	onStart    func(host string, run briarspring.RunRef)       // Called when a worker has accepted a start; may be nil.
@@ -153,7 +154,10 @@
 	defer f.mu.Unlock()
 	w := f.workflows[r.Task.Workflow]
 	if w == nil || w.Steps[r.Task.Step].LongRunning {
-		return 0, briarspring.RunDone
+		if w == nil || f.lasting == nil {
+			return 0, briarspring.RunDone
+		}
+		return f.lasting(r)
 	}
 	if f.failing[r.Task] > 0 {
 		f.failing[r.Task]--
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -118,7 +118,7 @@
 		for _, run := range p.FailedRuns {
 			t.countFailure(run)
 		}
-		if p.Done && !t.done {
+		if p.Done && !t.done && !t.step.spec().LongRunning {
 			d.logger.Info("task is done elsewhere", "workflow", id, "step", t.step.number, "index", t.index, "run", p.Run, "runs", len(t.runs))
 			t.markDone(now)
 			for _, r := range t.runs {
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -230,6 +230,9 @@
 	}
 	switch e.End {
 	case briarspring.RunDone:
+		if t.step.spec().LongRunning {
+			break
+		}
 		d.counters.Done++
 		w.failureStreak = 0
 		d.learnRunTime(t, r)
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -277,6 +277,8 @@
 	}
 	if p.Done {
 		t.markDone(d.now)
+	}
+	if t.done {
 		return
 	}
 	if p.Worker == "" {
@@ -292,9 +294,10 @@
 }
 
 // markDone marks the task done; one finished member finishes a whole gang. The
-// waiting time of steps that become ready by this is counted from now.
+// waiting time of steps that become ready by this is counted from now. A long-running
+// task is never done, however its runs end, and whatever earlier versions recorded.
 func (t *task) markDone(now time.Duration) {
-	if t.done {
+	if t.done || t.step.spec().LongRunning {
 		return
 	}
 	t.finish()
--- a/imitator/poollease.go
+++ b/imitator/poollease.go
@@ -36,7 +36,7 @@
 	case briarspring.RunFailed:
 		p.failures[ref.Task]++
 	case briarspring.RunDone:
-		p.finished[ref.Task] = true
+		p.finished[ref.Task] = !p.isLongRunning(ref.Task)
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -97,7 +97,7 @@
 // lease expired: the owner may have assigned the task to another worker by then.
 func (p *Pool) acknowledge(w *poolWorker, number uint64) {
 	for len(w.ended) > 0 && w.ended[0].Number <= number {
-		if e := w.ended[0]; e.End == briarspring.RunDone && e.Number > w.unackedAtExpiry {
+		if e := w.ended[0]; e.End == briarspring.RunDone && e.Number > w.unackedAtExpiry && !p.isLongRunning(e.Run.Task) {
 			p.acknowledgedAt[e.Run.Task] = time.Now()
 			p.checkAcknowledged(w, e)
 		}
@@ -105,6 +105,12 @@
 	}
 }
 
+// isLongRunning reports whether a task runs again however its runs end.
+func (p *Pool) isLongRunning(t briarspring.TaskRef) bool {
+	_, step := p.config.Spec(t)
+	return step != nil && step.LongRunning
+}
+
 // listedEnds returns the ends that a worker lists now.
 func (p *Pool) listedEnds(w *poolWorker) []briarspring.EndedTask {
 	n := 0
