--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -178,7 +178,8 @@
 func (t *task) failures() int { return len(t.failedRuns) }
 
 // countFailure counts a failed run, which fails a whole gang. A worker may list an
-// end again to a new owner, so each run counts once.
+// end again to a new owner, so each run counts once. Those of long-running tasks don't
+// count: they have no limit, and a record would have to hold them all.
 func (t *task) countFailure(run uint32) {
 	if !t.step.spec().Gang {
 		t.addFailure(run)
@@ -190,7 +191,7 @@
 }
 
 func (t *task) addFailure(run uint32) {
-	if slices.Contains(t.failedRuns, run) {
+	if t.step.spec().LongRunning || slices.Contains(t.failedRuns, run) {
 		return
 	}
 	t.failedRuns = append(t.failedRuns, run)
@@ -265,14 +266,16 @@
 	}
 	j.hasProgressRecord = true
 	t := j.tasks[p.Position]
-	t.failedRuns = slices.Clone(p.FailedRuns)
+	for _, run := range p.FailedRuns {
+		t.addFailure(run)
+	}
 	t.suspicion = p.Suspicion
 	t.lastRun = p.Run
 	t.checkpoint = p.Checkpoint
 	if p.Started || p.Done {
 		d.noteStarted(t, recordedSource(origin), p.Run, p.Worker)
 	}
-	if t.suspicion > 0 || len(t.failedRuns) > 0 {
+	if t.suspicion > 0 {
 		j.failing[t] = struct{}{}
 	}
 	if p.Done {
--- a/dispatcher/long_running_test.go
+++ b/dispatcher/long_running_test.go
@@ -96,3 +96,23 @@
 		}
 	})
 }
+
+// Guards against a progress record that grows with each failed run of a long-running task
+// until the log doesn't take it.
+func TestFailedRunsOfALongRunningTask(t *testing.T) {
+	failed := make([]uint32, 1000)
+	for i := range failed {
+		failed[i] = uint32(i + 1)
+	}
+	s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+	s.d.Submit(s.now, 0, workflow("a", longRunning(1, 1000)), 5, []briarspring.TaskProgress{{Run: 1000, FailedRuns: failed}}, nil)
+	run := starts(s.planAndApply())["w0"][0]
+	s.endRun("w0", run, briarspring.RunFailed)
+	s.now += 100 * time.Millisecond
+	s.renewAll()
+	b, _ := s.d.TakeBatch()
+	for _, p := range decodeProgress(t, b, "a") {
+		assert.Empty(t, p.FailedRuns)
+		assert.Equal(t, uint32(1001), p.Run)
+	}
+}
