--- a/dispatcher/besteffort.go
+++ b/dispatcher/besteffort.go
@@ -8,7 +8,7 @@
 func (d *Dispatcher) assignBestEffort(s *step) {
 	var options *stepOptions
 	for _, t := range s.tasks {
-		if !t.pending() || d.exhausted(t) || t.suspicion > 0 {
+		if !d.mayStart(t) || t.suspicion > 0 {
 			continue
 		}
 		if d.startsLeft <= 0 {
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -141,7 +141,7 @@
 // settled, and nothing else starts there until it has settled as well.
 func (d *Dispatcher) startSuspects(s *step) {
 	for _, t := range s.tasks {
-		if t.suspicion == 0 || !t.pending() || d.exhausted(t) || d.startsLeft <= 0 {
+		if t.suspicion == 0 || !d.mayStart(t) || d.startsLeft <= 0 {
 			continue
 		}
 		if !d.quotaAllows(s) {
--- a/dispatcher/gang.go
+++ b/dispatcher/gang.go
@@ -68,7 +68,7 @@
 // alone would occupy their workers for nothing. All members start with the same
 // run number.
 func (d *Dispatcher) assignGang(s *step) {
-	if s.waiting != s.unfinished || slices.ContainsFunc(s.tasks, d.exhausted) || slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.pending() }) {
+	if s.waiting != s.unfinished || slices.ContainsFunc(s.tasks, func(t *task) bool { return !d.mayStart(t) }) {
 		return
 	}
 	placements := d.placeGang(s)
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -241,7 +241,7 @@
 		d.counters.Failed++
 		t.countFailure(e.Run.Run)
 		t.avoidWorker = w
-		if r != nil && !r.stopping {
+		if r != nil && !r.stopping && t.quickEnds < blameEnds {
 			d.countWorkerFailure(w, r)
 		}
 	}
@@ -249,6 +249,7 @@
 	if r != nil {
 		d.removeRun(r)
 	}
+	d.delayRestart(t, r, e.End)
 	if t.done {
 		for _, other := range t.runs {
 			d.stop(other, "another copy finished first")
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -73,6 +73,7 @@
 	readySince   time.Duration
 	waitingSince time.Duration // Value of readySince when the last start was ordered.
 	avoidWorker  *worker       // Worker of its last failure.
+	quickEnds    int           // Runs in a row that ended by themselves at once, see delayRestart.
 	place        *placeWaiting // Its wait for a good place; nil for none.
 	away         bool          // It was stopped for urgent work and is not at work yet.
 }
--- a/dispatcher/plan.go
+++ b/dispatcher/plan.go
@@ -240,7 +240,7 @@
 	})
 	defer options.release(d)
 	for _, t := range s.tasks {
-		if !t.pending() || d.exhausted(t) || t.suspicion > 0 || d.heldBack(t) {
+		if !d.mayStart(t) || t.suspicion > 0 || d.heldBack(t) {
 			continue
 		}
 		if d.startsLeft <= 0 {
@@ -265,6 +265,11 @@
 	}
 }
 
+// mayStart reports whether the task may start now where there is room for it.
+func (d *Dispatcher) mayStart(t *task) bool {
+	return t.pending() && !d.exhausted(t) && d.now >= t.readySince
+}
+
 // exhausted reports whether the task has failed or crashed its worker too often
 // to start again.
 func (d *Dispatcher) exhausted(t *task) bool {
--- a/dispatcher/quota.go
+++ b/dispatcher/quota.go
@@ -218,7 +218,7 @@
 	}
 	tasks := 0
 	for _, t := range s.tasks {
-		if t.pending() && !d.exhausted(t) {
+		if d.mayStart(t) {
 			tasks++
 		}
 	}
--- a/dispatcher/urgent.go
+++ b/dispatcher/urgent.go
@@ -188,7 +188,7 @@
 func (d *Dispatcher) startable(s *step) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t.pending() && !d.exhausted(t) && t.suspicion == 0 && !d.passedUp(t) {
+		if d.mayStart(t) && t.suspicion == 0 && !d.passedUp(t) {
 			n++
 		}
 	}
--- a/dispatcher/wait.go
+++ b/dispatcher/wait.go
@@ -127,7 +127,7 @@
 func (d *Dispatcher) decideStepPlaces(s *step, o option, options *stepOptions) {
 	var tasks []*task
 	for _, t := range s.tasks {
-		if t.pending() && !d.exhausted(t) && t.suspicion == 0 && !d.heldBack(t) {
+		if d.mayStart(t) && t.suspicion == 0 && !d.heldBack(t) {
 			tasks = append(tasks, t)
 		}
 	}
