--- a/registrar/early_test.go
+++ b/registrar/early_test.go
@@ -79,6 +79,9 @@
 		s.submit("a", "tartu")
 		assertPhase(t, s.restoredMeanwhile(1, 1), briarspring.PhaseCancelled, "a")
 	})
+	t.Run("is on an earlier page of newest records than the submission", func(t *testing.T) {
+		assert.Less(t, registrar.EarlyCancelKey("z", of("birch")), registrar.SubmissionKey("a", "1"))
+	})
 	t.Run("survives a host that reads the newest records once more", func(t *testing.T) {
 		s := &stream{t: t}
 		s.cancelEarly("a", everybody)
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -22,8 +22,11 @@
 	prefixRetire     = "q/"
 	prefixInventory  = "i/"
 	prefixEnd        = "e/"
-	prefixEarly      = "x/"
-	prefixDirectory  = "d/"
+	// prefixEarly sorts before prefixSubmission: the pages of newest records are read in the
+	// order of keys, and a page with a submission must not precede one without the
+	// cancellation that was removed together with it.
+	prefixEarly     = "cx/"
+	prefixDirectory = "d/"
 
 	prefixQuotaPool    = "gp/"
 	prefixQuotaGrant   = "g/"
--- a/steward/commit.go
+++ b/steward/commit.go
@@ -147,6 +147,9 @@
 func (ow *ownership) publishHeartbeat(ctx context.Context) {
 	sent := ow.config.Now()
 	records := ow.heartbeat()
+	if len(records) == 0 {
+		return
+	}
 	ow.mu.Lock()
 	records = append(records, ow.engine.TakePhases()...)
 	ow.mu.Unlock()
