--- a/admitter/cancel.go
+++ b/admitter/cancel.go
@@ -58,6 +58,9 @@
 // write of its submission may still be under way, here or at another host, and the
 // caller may rely on the cancellation.
 func (a *Admitter) cancelUnknown(ctx context.Context, c *Caller, id briarspring.WorkflowID) error {
+	if _, err := briarspring.NewWorkflowID(string(id)); err != nil {
+		return nil // No submission can have this ID, and the log may not take a key with it.
+	}
 	content := briarspring.EarlyCancellation{DataCentre: a.config.DataCentre, Organisation: c.Organisation, Limited: c.limited}
 	recorded, count := false, 0
 	a.config.Replica.View(func(r *registrar.Registry) {
--- a/admitter/cancel_test.go
+++ b/admitter/cancel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -95,6 +96,16 @@
 		}
 		assert.Equal(t, writes+1, b.shared.writes)
 	})
+	t.Run("is not recorded for an ID that no workflow can have", func(t *testing.T) {
+		b := newBench(t)
+		writes := b.shared.writes
+		for _, id := range []briarspring.WorkflowID{"", "a/b", briarspring.WorkflowID(strings.Repeat("a", 300))} {
+			known, err := b.Cancel(t.Context(), id)
+			require.NoError(t, err)
+			assert.False(t, known)
+		}
+		assert.Equal(t, writes, b.shared.writes)
+	})
 	t.Run("is not acknowledged if it can't be recorded", func(t *testing.T) {
 		b := newBench(t)
 		acme := b.mustIdentify(t, "closed", keyOfAcme)
--- a/registrar/early_test.go
+++ b/registrar/early_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -82,6 +83,12 @@
 	t.Run("is on an earlier page of newest records than the submission", func(t *testing.T) {
 		assert.Less(t, registrar.EarlyCancelKey("z", of("birch")), registrar.SubmissionKey("a", "1"))
 	})
+	t.Run("has a key that the log takes, whatever the organisation's name", func(t *testing.T) {
+		const maxKeyBytes = 255
+		id := briarspring.WorkflowID(strings.Repeat("a", 63))
+		assert.LessOrEqual(t, len(registrar.EarlyCancelKey(id, of(strings.Repeat("/", 300)))), maxKeyBytes)
+		assert.NotEqual(t, registrar.EarlyCancelKey(id, of("acme")), registrar.EarlyCancelKey(id, of("birch")))
+	})
 	t.Run("survives a host that reads the newest records once more", func(t *testing.T) {
 		s := &stream{t: t}
 		s.cancelEarly("a", everybody)
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -1,6 +1,8 @@
 package registrar
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"math/rand/v2"
 	"net/url"
 	"strconv"
@@ -51,12 +53,17 @@
 // CancelKey returns the key of a workflow's cancellation.
 func CancelKey(id briarspring.WorkflowID) string { return prefixCancel + string(id) }
 
+// organisationDigestBytes is the length of the digest that stands for an organisation.
+const organisationDigestBytes = 16
+
 // EarlyCancelKey returns the key of the cancellation of a workflow that was not known where
 // it was requested. Repeated requests share a key, those of other organisations don't.
 func EarlyCancelKey(id briarspring.WorkflowID, c briarspring.EarlyCancellation) string {
 	key := prefixEarly + string(id) + "/"
 	if c.Limited {
-		key += "=" + url.PathEscape(c.Organisation)
+		// Of any length, and a key has 255 bytes at most.
+		digest := sha256.Sum256([]byte(c.Organisation))
+		key += hex.EncodeToString(digest[:organisationDigestBytes])
 	}
 	return key
 }
