--- a/dispatcher/authority.go
+++ b/dispatcher/authority.go
@@ -32,8 +32,8 @@
 	d.heartbeatWrittenAt = max(d.heartbeatWrittenAt, sent)
 }
 
-// PredecessorSigns is what the log says of the earlier owners that may have given leases.
-type PredecessorSigns struct {
+// Predecessors is what the log says of the earlier owners that may have given leases.
+type Predecessors struct {
 	// ShortLeases is true if all that may still give orders give short leases unless they
 	// have stored a heartbeat lately, see Config.ShortLeases.
 	ShortLeases   bool
@@ -42,8 +42,8 @@
 	Tokens        []uint64      // Of those that may still give orders.
 }
 
-// SetPredecessorSigns sets what the log says of the earlier owners.
-func (d *Dispatcher) SetPredecessorSigns(s PredecessorSigns) { d.predecessorSigns = s }
+// SetPredecessors sets what the log says of the earlier owners.
+func (d *Dispatcher) SetPredecessors(s Predecessors) { d.predecessors = s }
 
 // SetPredecessorsYield sets whether the earlier owners that may still give orders yield
 // when they have lost their authority.
@@ -104,13 +104,13 @@
 		return
 	}
 	enough := d.fencedShare()
-	if d.predecessorSigns.ShortLeases {
-		enough = !slices.ContainsFunc(d.predecessorSigns.Tokens, func(token uint64) bool { return !d.excludes(token) })
+	if d.predecessors.ShortLeases {
+		enough = !slices.ContainsFunc(d.predecessors.Tokens, func(token uint64) bool { return !d.excludes(token) })
 	}
 	if enough {
 		d.mostFencedAt = d.now
 		d.logger.Info("no earlier owner can reach most workers", "after-ms", (d.now - d.startedAt).Milliseconds(),
-			"short-leases", d.predecessorSigns.ShortLeases, "predecessors", len(d.predecessorSigns.Tokens))
+			"short-leases", d.predecessors.ShortLeases, "predecessors", len(d.predecessors.Tokens))
 	}
 }
 
@@ -177,7 +177,7 @@
 	case w.restarted:
 		// A call for its earlier process, by that one's clock, gives the longest lease.
 		return after(last, d.config.MaxLease)
-	case !d.predecessorSigns.ShortLeases:
+	case !d.predecessors.ShortLeases:
 		return after(last, d.config.Lease)
 	}
 	full := min(last, d.lastFullLease())
@@ -189,7 +189,7 @@
 // no progress was stored any more when this owner started.
 func (d *Dispatcher) lastFullLease() time.Duration {
 	last := d.startedAt
-	if s := d.predecessorSigns; s.ReadTo >= d.startedAt+authorityTime {
+	if s := d.predecessors; s.ReadTo >= d.startedAt+authorityTime {
 		last = min(last, s.LastHeartbeat)
 	}
 	return last + authorityTime + leaseMargin
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -109,7 +109,7 @@
 	predecessorsGoneAt time.Duration            // When that became known.
 	predecessorsYield  bool                     // Those that may still give orders yield.
 	nameTaken          bool                     // Some are known to be gone only because a later process has their name.
-	predecessorSigns   PredecessorSigns         // Of all earlier owners.
+	predecessors       Predecessors             // Of all earlier owners.
 	progressWrittenAt  time.Duration            // When the last successful append of progress was sent.
 	heartbeatWrittenAt time.Duration            // When the last heartbeat that was stored was sent.
 	mostFencedAt       time.Duration            // When no earlier owner could reach most workers any more; zero before.
--- a/dispatcher/restart_delay.go
+++ b/dispatcher/restart_delay.go
@@ -11,10 +11,10 @@
 	// to do so again.
 	quickEndTime = 2 * time.Second
 	// minRestartDelay is the delay before the second restart in a row of such a task. It
-	// doubles up to maxRestartDelay, which leaves time to start within the 9 s for which
-	// the platform lets a long-running task be away.
-	minRestartDelay = 250 * time.Millisecond
-	maxRestartDelay = 4 * time.Second
+	// doubles up to 4 s, which leaves time to start within the 9 s for which the platform
+	// lets a long-running task be away.
+	minRestartDelay   = 250 * time.Millisecond
+	maxDelayDoublings = 4 // At most.
 	// blameEnds is the number of such ends in a row from which failures are not counted
 	// against the worker any more: the task fails on others too.
 	blameEnds = 2
@@ -33,7 +33,7 @@
 	}
 	delay := time.Duration(0)
 	if t.quickEnds > 0 {
-		delay = min(minRestartDelay<<min(t.quickEnds-1, 8), maxRestartDelay)
+		delay = minRestartDelay << min(t.quickEnds-1, maxDelayDoublings)
 	}
 	t.quickEnds++
 	t.readySince = d.now + delay
--- a/dispatcher/short_lease_test.go
+++ b/dispatcher/short_lease_test.go
@@ -101,9 +101,9 @@
 	return s
 }
 
-// signs returns what the log says of one earlier owner that was last heard of at a time.
-func (s *fixture) signs(lastHeartbeat, readTo time.Duration, tokens ...uint64) {
-	s.d.SetPredecessorSigns(dispatcher.PredecessorSigns{ShortLeases: true, LastHeartbeat: lastHeartbeat, ReadTo: readTo, Tokens: tokens})
+// heardOf sets what the log says of one or more earlier owners.
+func (s *fixture) heardOf(lastHeartbeat, readTo time.Duration, tokens ...uint64) {
+	s.d.SetPredecessors(dispatcher.Predecessors{ShortLeases: true, LastHeartbeat: lastHeartbeat, ReadTo: readTo, Tokens: tokens})
 }
 
 // Guards against a new owner that waits for leases that were never given, and against one that
@@ -119,22 +119,22 @@
 	}
 	t.Run("is waited for until its last short lease has ended", func(t *testing.T) {
 		s := shortLeaseSuccessor(t, 10, byFirst)
-		s.signs(s.now-4*time.Second, s.now+time.Minute, 1)
+		s.heardOf(s.now-4*time.Second, s.now+time.Minute, 1)
 		assertStarts(t, s, 4, short, 400*time.Millisecond)
 	})
 	t.Run("is waited for until its last full lease has ended", func(t *testing.T) {
 		s := shortLeaseSuccessor(t, 10, byFirst)
-		s.signs(s.now-time.Second, s.now+time.Minute, 1)
+		s.heardOf(s.now-time.Second, s.now+time.Minute, 1)
 		assertStarts(t, s, 4, full-time.Second, 400*time.Millisecond)
 	})
 	t.Run("may have had heartbeats that were not read yet", func(t *testing.T) {
 		s := shortLeaseSuccessor(t, 10, byFirst)
-		s.signs(s.now-4*time.Second, s.now+time.Second, 1)
+		s.heardOf(s.now-4*time.Second, s.now+time.Second, 1)
 		assertStarts(t, s, 4, full, 400*time.Millisecond)
 	})
 	t.Run("is waited for while fewer than two fifths of its workers have answered", func(t *testing.T) {
 		s := shortLeaseSuccessor(t, 10, byFirst)
-		s.signs(s.now-4*time.Second, s.now+time.Minute, 1)
+		s.heardOf(s.now-4*time.Second, s.now+time.Minute, 1)
 		assert.Empty(t, starts(s.advanceTo(10*time.Second, 3)))
 	})
 	t.Run("is not excluded by workers that a later one has recorded", func(t *testing.T) {
@@ -144,7 +144,7 @@
 			}
 			return 1
 		})
-		s.signs(s.now-4*time.Second, s.now+time.Minute, 1, 5)
+		s.heardOf(s.now-4*time.Second, s.now+time.Minute, 1, 5)
 		assert.Empty(t, starts(s.advanceTo(10*time.Second, 6)))
 		assert.Equal(t, 2, countRuns(starts(s.advanceTo(short+time.Second, 7))))
 	})
@@ -154,7 +154,7 @@
 		s.d.AddRecordedWorkers([]briarspring.KnownWorker{{ID: "w0", Address: "a", Service: "ledger", Since: 1}, known})
 		s.d.SetWorkers(s.now, s.entries("w0", "w1"))
 		s.d.SetPredecessorsYield(true)
-		s.signs(s.now-4*time.Second, s.now+time.Minute, 1)
+		s.heardOf(s.now-4*time.Second, s.now+time.Minute, 1)
 		s.d.Submit(s.now, 0, workflow("a", step(2, 1000)), 5, nil, nil)
 		assertStarts(t, s, 1, 7800*time.Millisecond, 400*time.Millisecond)
 	})
@@ -168,7 +168,7 @@
 			earlier.advanceTo(2*time.Second, workers-held)
 			orders := workers > held && earlier.nextRenewal("w0").Until > 0
 			next := shortLeaseSuccessor(t, workers, func(int) uint64 { return 1 })
-			next.signs(next.now-4*time.Second, next.now+time.Minute, 1)
+			next.heardOf(next.now-4*time.Second, next.now+time.Minute, 1)
 			knows := countRuns(starts(next.advanceTo(5*time.Second, held))) > 0
 			assert.False(t, orders && knows, "the next owner holds %d of %d workers", held, workers)
 		}
--- a/registrar/sign_test.go
+++ b/registrar/heard_test.go
@@ -36,20 +36,20 @@
 
 // Guards against a successor that takes the last full lease for ended, since it missed a
 // heartbeat of an earlier owner.
-func TestPredecessorsLastSign(t *testing.T) {
+func TestPredecessorsHeardAt(t *testing.T) {
 	t.Run("is the last heartbeat", func(t *testing.T) {
 		s := &stream{t: t}
 		first := s.claimShort("host-1", 0)
 		s.heartbeat(first)
 		s.claimShort("host-2", first)
-		assert.Equal(t, time.Second, s.timed().PredecessorsLastSign("tartu"))
+		assert.Equal(t, time.Second, s.timed().PredecessorsHeardAt("tartu"))
 	})
 	t.Run("is one that follows the next claim", func(t *testing.T) {
 		s := &stream{t: t}
 		first := s.claimShort("host-1", 0)
 		s.claimShort("host-2", first)
 		s.heartbeat(first)
-		assert.Equal(t, 2*time.Second, s.timed().PredecessorsLastSign("tartu"))
+		assert.Equal(t, 2*time.Second, s.timed().PredecessorsHeardAt("tartu"))
 	})
 	t.Run("is the latest of several owners", func(t *testing.T) {
 		s := &stream{t: t}
@@ -58,7 +58,7 @@
 		s.heartbeat(second)
 		s.claimShort("host-3", second)
 		r := s.timed()
-		assert.Equal(t, 2*time.Second, r.PredecessorsLastSign("tartu"))
+		assert.Equal(t, 2*time.Second, r.PredecessorsHeardAt("tartu"))
 		assert.Equal(t, []uint64{first, second}, r.PredecessorTokens(4*time.Second, 12*time.Second, "tartu"))
 		assert.Equal(t, []uint64{second}, r.PredecessorTokens(14*time.Second, 12*time.Second, "tartu"))
 	})
@@ -76,7 +76,7 @@
 		}
 		_, errs := r.Restore(9*time.Second, append(s.records[:1:1], s.records[2:]...), uint64(len(s.records)))
 		require.Empty(t, errs)
-		assert.Equal(t, 9*time.Second, r.PredecessorsLastSign("tartu"))
+		assert.Equal(t, 9*time.Second, r.PredecessorsHeardAt("tartu"))
 	})
 	t.Run("says nothing beside an owner of an earlier version", func(t *testing.T) {
 		s := &stream{t: t}
--- a/registrar/owner.go
+++ b/registrar/owner.go
@@ -33,7 +33,7 @@
 	gone       bool          // Its owner gives no more orders under it.
 	goneAt     time.Duration // When the record that showed this was read.
 	nameTaken  bool          // Known to be gone only because a later process has its name.
-	signAt     time.Duration // See ownership.
+	heardAt    time.Duration // See ownership.
 }
 
 // maxPastClaims bounds the replaced claims kept for each data centre. By the
@@ -45,7 +45,7 @@
 	claim     Claim
 	past      []pastClaim
 	heartbeat Heartbeat
-	signAt    time.Duration // When the claim in force or its last heartbeat was read.
+	heardAt   time.Duration // When the claim in force or its last heartbeat was read.
 	silent    silentWorkers
 }
 
@@ -191,7 +191,7 @@
 		return Change{}, nil
 	}
 	if o.claim.Token != 0 {
-		p := pastClaim{claim: o.claim, replacedAt: now, signAt: o.signAt}
+		p := pastClaim{claim: o.claim, replacedAt: now, heardAt: o.heardAt}
 		// A process claims again, or gives up a data centre, only after its earlier
 		// ownership has ended.
 		byOwner := c.Owner == "" || c.Owner == o.claim.Owner && c.Incarnation == o.claim.Incarnation
@@ -203,7 +203,7 @@
 		o.past = o.past[max(0, len(o.past)-maxPastClaims):]
 	}
 	o.claim = Claim{Token: rec.Offset + 1, Previous: c.Previous, Owner: c.Owner, Incarnation: c.Incarnation, Yields: c.Yields, ShortLeases: c.ShortLeases}
-	o.signAt = now
+	o.heardAt = now
 	return Change{DataCentre: c.DataCentre}, nil
 }
 
@@ -215,23 +215,23 @@
 	o := r.ownershipOf(dataCentre)
 	if b.Token == o.claim.Token {
 		o.heartbeat = Heartbeat{Content: b, At: now}
-		o.signAt = now
+		o.heardAt = now
 	}
 	for i := range o.past {
 		if p := &o.past[i]; p.claim.Token == b.Token {
-			p.signAt = now
+			p.heardAt = now
 		}
 	}
 	return nil
 }
 
-// forgetSigns counts all owners as heard of now: of the heartbeats of a data centre, the
-// newest records have one at most.
-func (r *Registry) forgetSigns(now time.Duration) {
+// countAsHeard counts all owners as heard of now: the newest records have at most one of the
+// heartbeats of a data centre, and others may have been missed.
+func (r *Registry) countAsHeard(now time.Duration) {
 	for _, o := range r.owners {
-		o.signAt = now
+		o.heardAt = now
 		for i := range o.past {
-			o.past[i].signAt = now
+			o.past[i].heardAt = now
 		}
 	}
 }
@@ -244,13 +244,13 @@
 	})
 }
 
-// PredecessorsLastSign returns when the last heartbeat of an earlier owner of a data centre
+// PredecessorsHeardAt returns when the last heartbeat of an earlier owner of a data centre
 // was read.
-func (r *Registry) PredecessorsLastSign(dataCentre string) time.Duration {
+func (r *Registry) PredecessorsHeardAt(dataCentre string) time.Duration {
 	var last time.Duration
 	for _, p := range r.ownershipOf(dataCentre).past {
 		if p.claim.Owner != "" {
-			last = max(last, p.signAt)
+			last = max(last, p.heardAt)
 		}
 	}
 	return last
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -203,7 +203,7 @@
 		}
 	}
 	r.quota.prune(quotaKeys, end)
-	r.forgetSigns(now)
+	r.countAsHeard(now)
 	r.applied = max(r.applied, end)
 	return changes, errs
 }
--- a/steward/term.go
+++ b/steward/term.go
@@ -232,7 +232,7 @@
 		}
 		ow.engine.SetPredecessorsNameTaken(r.PredecessorsNameTaken(now, maxUnreachable, ow.config.DataCentre))
 		ow.engine.SetPredecessorsYield(r.PredecessorsYield(now, maxUnreachable, ow.config.DataCentre))
-		ow.engine.SetPredecessorSigns(ow.predecessorSigns(now, r))
+		ow.engine.SetPredecessors(ow.predecessors(now, r))
 		ow.engine.SetSilentLeaseEnds(maps.Clone(r.SilentWorkers(ow.config.DataCentre)))
 		if ow.quota.engine != nil {
 			ow.passOrganisations(now, r)
@@ -250,12 +250,12 @@
 	return inForce
 }
 
-// predecessorSigns returns what the shared state says of the earlier owners' leases.
-func (ow *ownership) predecessorSigns(now time.Duration, r *registrar.Registry) dispatcher.PredecessorSigns {
+// predecessors returns what the shared state says of the earlier owners' leases.
+func (ow *ownership) predecessors(now time.Duration, r *registrar.Registry) dispatcher.Predecessors {
 	readTo, _ := ow.config.ReplicaFreshness.LastReadSent()
-	return dispatcher.PredecessorSigns{
+	return dispatcher.Predecessors{
 		ShortLeases:   r.PredecessorsShortLeases(now, recentOwnerTime, ow.config.DataCentre),
-		LastHeartbeat: r.PredecessorsLastSign(ow.config.DataCentre),
+		LastHeartbeat: r.PredecessorsHeardAt(ow.config.DataCentre),
 		ReadTo:        readTo,
 		Tokens:        r.PredecessorTokens(now, maxUnreachable, ow.config.DataCentre),
 	}
