--- a/dispatcher/former_start_test.go
+++ b/dispatcher/former_start_test.go
@@ -76,6 +76,17 @@
 		s.restart("w0")
 		assert.Equal(t, []briarspring.RunRef{run}, stopsOn(s.advance(300*time.Millisecond), "w0"))
 	})
+	t.Run("is stopped with the first answer, which is asked for at once", func(t *testing.T) {
+		s, _ := unansweredStart(t)
+		s.advance(2 * time.Second)
+		assert.Positive(t, s.nextRenewal("w0").Wait)
+		s.d.RenewalFailed(s.now, "w0", briarspring.VerdictUnanswered)
+		assert.Zero(t, s.nextRenewal("w0").Wait)
+		s.restart("w0")
+		s.renew("w0")
+		assert.Len(t, stopsOn(s.d.Plan(s.now), "w0"), 1)
+		assert.Positive(t, s.nextRenewal("w0").Wait)
+	})
 	t.Run("is forgotten once it can't arrive any more", func(t *testing.T) {
 		s, _ := unansweredStart(t)
 		s.advance(14 * time.Second)
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -52,7 +52,9 @@
 	}
 	if w.renewalFailed || w.restartSeenAt > 0 {
 		// Extending the lease without an answer would keep it from ever ending, and a deadline
-		// by the clock of an earlier process gives the longest lease.
+		// by the clock of an earlier process gives the longest lease. An answer at once tells
+		// of a new process before a start for the earlier one reaches it.
+		req.Wait = 0
 		return req, true
 	}
 	req.LastSeenEnd = w.lastEndStored
