--- a/admitter/caller_test.go
+++ b/admitter/caller_test.go
@@ -327,6 +327,21 @@
 			assert.Zero(t, phase)
 		}
 	}
+	t.Run("are cancelled like unknown ones when the log gives no answer", func(t *testing.T) {
+		b.shared.fail = func() error { return &briarspring.NoAnswerError{Call: "append", Cause: errors.New("lost")} }
+		defer func() { b.shared.fail = nil }()
+		for _, id := range []briarspring.WorkflowID{"1", "9"} {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			known, err := b.CancelFor(ctx, birch, id)
+			cancel()
+			var unanswered *briarspring.NoAnswerError
+			require.ErrorAs(t, err, &unanswered)
+			assert.False(t, known)
+		}
+		phase, _, err := b.PhaseFor(t.Context(), acme, "1")
+		require.NoError(t, err)
+		assert.Equal(t, briarspring.PhaseQueued, phase)
+	})
 	t.Run("don't exist", func(t *testing.T) {
 		assertKnown(t, true, acme, "1")
 		assertKnown(t, false, birch, "1")
