--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -101,10 +101,13 @@
 }
 
 // note writes a line to the record.
-func (s *system) note(format string, args ...any) {
+func (s *system) note(format string, args ...any) { s.noteAt(time.Now(), format, args...) }
+
+// noteAt writes a line about a moment to the record.
+func (s *system) noteAt(at time.Time, format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fmt.Fprintf(s.record, "%8.3f s  %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(s.record, "%8.3f s  %s\n", at.Sub(s.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // findSubnet chooses loopback addresses on which the fixed ports are free.
@@ -313,7 +316,7 @@
 	if json.Unmarshal([]byte(line), &e) != nil {
 		return
 	}
-	s.note("executor %s: %s %s run %d %s token %d", e.Worker, e.Event, e.Task, e.Run, e.How, e.Token)
+	s.noteAt(time.UnixMilli(e.At), "executor %s: %s %s run %d %s token %d", e.Worker, e.Event, e.Task, e.Run, e.How, e.Token)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e.Event == "start" {
