--- a/review/stand-3/drive.go
+++ b/review/stand-3/drive.go
@@ -16,7 +16,6 @@
 var scenarios = map[string]scenario{
 	"evacuation": driveEvacuation,
 	"crashes":    driveCrashes,
-	"long":       driveLong,
 	"memory":     driveMemory,
 	"split":      driveSplit,
 }
