--- a/review/stand-3/drive.go
+++ b/review/stand-3/drive.go
@@ -18,6 +18,7 @@
 	"crashes":    driveCrashes,
 	"memory":     driveMemory,
 	"split":      driveSplit,
+	"unheard":    driveUnheard,
 }
 
 // maxTime is when a driver gives up.
--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -27,10 +27,12 @@
 	readyPort    = 8167
 	controlPort  = 8166
 	internalPort = 7720
-	metricsPort  = 9464 // The default of the host's command.
-	standPort    = 8703 // Of the store and the executors.
-	storeIP      = 250  // Last byte of the store's address.
-	executorsIP  = 100  // The same of the first executor.
+	metricsPort  = 9464    // The default of the host's command.
+	standPort    = 8703    // Of the store and the executors.
+	storeIP      = 250     // Last byte of the store's address.
+	executorsIP  = 100     // The same of the first executor.
+	relaysIP     = 180     // The same of the first relay.
+	entryLag     = "800ms" // Of the list of executors, as in the site file.
 	workersARack = 2
 	callTimeout  = 3 * time.Second
 	readyTimeout = 20 * time.Second
@@ -53,6 +55,7 @@
 // executor is a machine on which executors live one after the other.
 type executor struct {
 	zone, rack, address string
+	relay               *relay // Between the hosts and the executor; nil for none.
 	cpu                 int64
 	id                  string // Of its present life.
 	process             *process
@@ -80,7 +83,8 @@
 	executors []*executor
 	client    *http.Client
 	began     time.Time
-	fills     int // Jobs that fill zones so far.
+	fills     int  // Jobs that fill zones so far.
+	relayed   bool // Hosts reach the executors through relays.
 
 	mu     sync.Mutex
 	record *os.File
@@ -201,7 +205,13 @@
 	for i, zone := range zones {
 		for n := range workersPerZone {
 			address := fmt.Sprintf("%s.%d:%d", s.subnet, executorsIP+len(s.executors), standPort)
-			s.executors = append(s.executors, &executor{zone: zone, rack: fmt.Sprintf("r%d-%d", i+1, n/workersARack+1), address: address, cpu: cpu})
+			x := &executor{zone: zone, rack: fmt.Sprintf("r%d-%d", i+1, n/workersARack+1), address: address, cpu: cpu}
+			if s.relayed {
+				if x.relay, err = newRelay(fmt.Sprintf("%s.%d:%d", s.subnet, relaysIP+len(s.executors), standPort), address); err != nil {
+					return err
+				}
+			}
+			s.executors = append(s.executors, x)
 		}
 	}
 	for _, x := range s.executors {
@@ -291,9 +301,19 @@
 func (s *system) startExecutor(x *executor) error {
 	x.lives++
 	x.id = fmt.Sprintf("i-%08x%02x", rand.Uint32(), x.lives)
+	return s.startAgain(x)
+}
+
+// startAgain starts the next life of an executor under the ID that it had.
+func (s *system) startAgain(x *executor) error {
+	entry, lag := x.address, "0s"
+	if x.relay != nil {
+		// The port of the relay, on an address of its own.
+		entry, lag = fmt.Sprintf("%s.%d:%d", s.subnet, relaysIP+slices.Index(s.executors, x), standPort), entryLag
+	}
 	var err error
-	x.process, err = s.spawn(nil, s.handleEvent, os.Args[0], "worker", "-id", x.id, "-address", x.address, "-store", s.storeAddr,
-		"-zone", x.zone, "-rack", x.rack, "-service", serviceName, "-cpu", fmt.Sprint(x.cpu))
+	x.process, err = s.spawn(nil, s.handleEvent, os.Args[0], "worker", "-id", x.id, "-address", x.address, "-entry", entry, "-lag", lag,
+		"-store", s.storeAddr, "-zone", x.zone, "-rack", x.rack, "-service", serviceName, "-cpu", fmt.Sprint(x.cpu))
 	return err
 }
 
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -52,6 +52,8 @@
 // workerConfig describes an executor.
 type workerConfig struct {
 	id, address, zone, rack, service string
+	entry                            string        // Address of its entry.
+	lag                              time.Duration // Until its first entry is in the list.
 	cpu, memory                      int64
 	store                            string
 }
@@ -254,9 +256,9 @@
 // beat writes the executor's entry to the store.
 func (w *worker) beat() {
 	client := &http.Client{Timeout: time.Second}
-	for ; ; time.Sleep(heartbeat) {
+	for time.Sleep(w.config.lag); ; time.Sleep(heartbeat) {
 		body, _ := json.Marshal(map[string]any{
-			"service": w.config.service, "address": w.config.address, "zone": w.config.zone, "version": "1", "slots": 8, "state": "ready",
+			"service": w.config.service, "address": w.config.entry, "zone": w.config.zone, "version": "1", "slots": 8, "state": "ready",
 			"coldRemainingMs": 0, "sequence": 1, "born": w.born.UnixMilli(), "labels": []string{"a", w.config.rack},
 			"capacity": map[string]int64{"cpu": w.config.cpu, "taskMemoryMb": w.config.memory, "gpu": 0},
 		})
@@ -273,6 +275,8 @@
 	flags := flag.NewFlagSet("worker", flag.ContinueOnError)
 	flags.StringVar(&c.id, "id", "", "ID of this life")
 	flags.StringVar(&c.address, "address", "", "address to serve")
+	flags.StringVar(&c.entry, "entry", "", "address in its entry")
+	flags.DurationVar(&c.lag, "lag", 0, "time until its first entry is in the list")
 	flags.StringVar(&c.store, "store", "", "address of the store")
 	flags.StringVar(&c.zone, "zone", "", "zone")
 	flags.StringVar(&c.rack, "rack", "", "rack")
