cataloguer: a copy of a record that was dropped since takes nothing out of service

What callers saw: operators took a data centre out of service and returned it while no host was running.

Cause: hosts copy the operators' records to the shared stream. A host that starts reads the directory stream and the shared one side by side. If it restores the directory first, the dropped key is in no record, and the catalogue kept nothing of its absence; the copy that it then read was the only record of the key, and no later one can follow. Copies also stayed in the shared stream for ever, since only a host that knows a record of the key replaces them.

Change: the catalogue remembers up to which offset it was restored. A restore names every key that exists there, so a copy of an earlier record whose key it didn't name is of a dropped record, whether the host has heard of the key, heard of an earlier time out of service, or knows nothing. The host takes the key for dropped as of the restored end.

--- a/cataloguer/cataloguer.go
+++ b/cataloguer/cataloguer.go
@@ -49,6 +49,7 @@
 	index        *briarspring.KeyIndex              // Of the directory's keys.
 	loaded       bool                               // There is a directory.
 	read         bool                               // The directory stream itself was read.
+	restoredEnd  uint64                             // See Restore; the records named all keys that existed there.
 	records      map[string]briarspring.KeyedRecord // See Records.
 	outOfService map[string]bool
 }
@@ -92,11 +93,13 @@
 	return list
 }
 
-// Restore applies the latest record of every key. Keys that are known from before end
-// and have no record were dropped: their data centres return to service.
+// Restore applies the latest record of every key. Keys without a record don't exist at
+// end: their data centres return to service, and copies from before end don't count any
+// more, whether the key was known or not.
 func (c *Catalogue) Restore(records []briarspring.KeyedRecord, end uint64) {
 	c.mu.Lock()
 	c.read = true
+	c.restoredEnd = max(c.restoredEnd, end)
 	present := map[string]bool{}
 	for _, r := range records {
 		present[r.Key] = true
@@ -156,6 +159,12 @@
 		return
 	}
 	if name, ok := c.config.Decoder.DecodeOutKey(r.Key); ok {
+		if isCopy && c.dropped(r) {
+			// The host's next append replaces the copy, for hosts that can't read the
+			// directory stream and for those that only know the copy.
+			c.config.Logger.Info("copy is of a record that was dropped since", "key", r.Key, "offset", r.Offset, "restored-end", c.restoredEnd)
+			r = briarspring.KeyedRecord{Key: r.Key, Offset: c.restoredEnd - 1}
+		}
 		if len(r.Value) > 0 {
 			r.Value = []byte(presentValue)
 		}
@@ -188,6 +197,12 @@
 	c.records[r.Key] = r
 }
 
+// dropped reports whether a copy is of a record whose key was dropped before the
+// directory stream was restored: a record from before that would be known.
+func (c *Catalogue) dropped(r briarspring.KeyedRecord) bool {
+	return len(r.Value) > 0 && r.Offset < c.restoredEnd && len(c.records[r.Key].Value) == 0
+}
+
 // changeFields returns the fields of the log line about a new directory.
 func (c *Catalogue) changeFields(d briarspring.Directory) []any {
 	fields := []any{"version", d.Version, "before", c.directory.Version, "queues", len(d.Queues)}
--- a/cataloguer/cataloguer_test.go
+++ b/cataloguer/cataloguer_test.go
@@ -1,6 +1,7 @@
 package cataloguer_test
 
 import (
+	"context"
 	"errors"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"briarspring"
 	"briarspring/cataloguer"
+	"briarspring/registrar"
 )
 
 // decoder reads versions from "directory" and data centres from "out/NAME".
@@ -66,3 +68,49 @@
 		assert.False(t, c.OutOfService("voru"), "a data centre without a record is in service")
 	})
 }
+
+// Guards against a data centre that a copy takes out of service for good, since the host
+// learnt that its key is gone before it read the copy.
+func TestCopyOfADroppedRecord(t *testing.T) {
+	t.Run("that the host has never heard of", func(t *testing.T) {
+		s := newSharedStream(0)
+		s.catalogue.Restore(nil, 9)
+		s.read(copyOf(t, 4, "out/tartu", "{}"))
+		assert.False(t, s.catalogue.OutOfService("tartu"))
+		t.Run("is replaced in the shared stream", func(t *testing.T) {
+			dropped := briarspring.KeyedRecord{Key: registrar.DirectoryKey("out/tartu", 4)}
+			assertCopies(t, s, copyOf(t, 8, "out/tartu", ""), dropped)
+			s.read(s.copier.Records(context.Background())...)
+			assertCopies(t, s)
+		})
+		t.Run("and put back puts a host right that only knows the copy", func(t *testing.T) {
+			other := newSharedStream(0)
+			other.read(copyOf(t, 4, "out/tartu", "{}"), copyOf(t, 8, "out/tartu", ""))
+			assert.False(t, other.catalogue.OutOfService("tartu"))
+		})
+	})
+	t.Run("that was added and dropped again since the host heard of it", func(t *testing.T) {
+		s := newSharedStream(0)
+		s.change(2, "out/tartu", "{}")
+		s.change(3, "out/tartu", "")
+		s.catalogue.Restore(nil, 9)
+		s.read(copyOf(t, 5, "out/tartu", "{}"))
+		assert.False(t, s.catalogue.OutOfService("tartu"))
+	})
+	t.Run("does not hide a record that follows the restored ones", func(t *testing.T) {
+		s := newSharedStream(0)
+		s.catalogue.Restore(nil, 9)
+		s.read(copyOf(t, 9, "out/tartu", "{}"))
+		assert.True(t, s.catalogue.OutOfService("tartu"))
+		s.change(9, "out/tartu", "{}")
+		assert.True(t, s.catalogue.OutOfService("tartu"))
+	})
+	t.Run("does not hide a record that the restored ones name", func(t *testing.T) {
+		s := newSharedStream(0)
+		s.catalogue.Restore([]briarspring.KeyedRecord{{Key: "out/tartu", Value: []byte("{}"), Offset: 7}}, 9)
+		s.read(copyOf(t, 4, "out/tartu", "{}"))
+		assert.True(t, s.catalogue.OutOfService("tartu"))
+		s.change(9, "out/tartu", "")
+		assert.False(t, s.catalogue.OutOfService("tartu"))
+	})
+}
