steward: an owner starts nothing before it has read the directory

What would be seen: operators take a data centre out of service while no host is running, and after the start the store serves the shared stream some seconds before the directory. The new owner starts tasks in that data centre.

The catalogue tells of copies until the directory stream itself is read, and what was changed while no host was running has no copy. Callers got 503 meanwhile ("no directory was read yet"), but owners started inherited work and moved it to data centres that may be out.

Evidence: the case "taken out, directory is read last" of TestOutOfServiceChangedWhileAllHostsAreAway fails without the change: 3 starts in place of 1.

Change: until this process has read the directory once, a planning pass orders no starts and nothing is transferred. Renewals, stops, ends and heartbeats go on, so that what runs lives on.

--- a/assembler/directory_dark_test.go
+++ b/assembler/directory_dark_test.go
@@ -34,8 +34,9 @@
 	end()
 }
 
-// Guards against a data centre that stays out of service for good, since no host saw that
-// operators returned it, and a host that starts finds an older copy of its record.
+// Guards against a data centre that stays out of service for good, or that is used though
+// it is out of service, since no host saw the operators' last change when it was made: a
+// host that starts finds an older copy of the record, or none.
 func TestOutOfServiceChangedWhileAllHostsAreAway(t *testing.T) {
 	const id = "0000000000000047"
 	out := func(f *fleet, out bool) {
@@ -49,6 +50,7 @@
 		{"returned", true, false, func(f *fleet) { out(f, false) }},
 		{"returned, and the history is gone", true, false, func(f *fleet) { out(f, false); f.store.TrimHistory() }},
 		{"returned and taken out again", true, true, func(f *fleet) { out(f, false); out(f, true) }},
+		{"taken out", false, true, func(f *fleet) { out(f, true) }},
 		{"taken out and returned", false, false, func(f *fleet) { out(f, true); out(f, false) }},
 	}
 	for _, late := range []string{briarspring.SharedStream, briarspring.DirectoryStream} {
--- a/cataloguer/cataloguer.go
+++ b/cataloguer/cataloguer.go
@@ -74,6 +74,14 @@
 	return c.directory, c.loaded && c.read
 }
 
+// Restored reports whether the directory stream itself was read. Before that, OutOfService
+// knows copies alone, which lack what was changed while no host was running.
+func (c *Catalogue) Restored() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read
+}
+
 // OutOfService reports whether a data centre is out of service.
 func (c *Catalogue) OutOfService(dataCentre string) bool {
 	c.mu.Lock()
--- a/steward/quota_system_test.go
+++ b/steward/quota_system_test.go
@@ -99,6 +99,8 @@
 
 func (s *quotaSystem) OutOfService(string) bool { return false }
 
+func (s *quotaSystem) Restored() bool { return true }
+
 // store appends records. Callers hold mu.
 func (s *quotaSystem) store(records []briarspring.KeyedRecord) {
 	for _, r := range records {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -53,6 +53,8 @@
 type Catalogue interface {
 	Directory() (briarspring.Directory, bool)
 	OutOfService(dataCentre string) bool
+	// Restored reports whether OutOfService knows what the operators' stream has.
+	Restored() bool
 }
 
 // Freshness describes how current a followed stream is.
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -33,6 +33,8 @@
 
 func (inService) OutOfService(string) bool { return false }
 
+func (inService) Restored() bool { return true }
+
 // claimRecord returns the record of a claim.
 func claimRecord(t *testing.T, offset, previous uint64, owner string) briarspring.KeyedRecord {
 	value, err := encoder.EncodeDataCentreClaim(briarspring.DataCentreClaim{DataCentre: "tartu", Previous: previous, Owner: owner})
--- a/steward/term.go
+++ b/steward/term.go
@@ -79,6 +79,8 @@
 
 	inventory []briarspring.KnownWorker // Workers of the last inventory; used by publishLoop alone.
 
+	awaitsDirectory bool // Starts wait until the directory is read; used by planLoop alone.
+
 	mu       sync.Mutex
 	engine   *dispatcher.Dispatcher
 	pacer    Pacer
@@ -294,10 +296,16 @@
 }
 
 // planAndSend runs a planning pass and sends its orders. It plans no more starts
-// than can be sent at once, so that they don't age in a queue.
+// than can be sent at once, so that they don't age in a queue, and none before the
+// directory was read: operators may have taken data centres out of service while no host
+// was running.
 func (ow *ownership) planAndSend(ctx context.Context, now time.Duration, goroutines *sync.WaitGroup) {
+	maxStarts := 0
+	if ow.directoryRestored() {
+		maxStarts = cap(ow.orderSlots) - len(ow.orderSlots)
+	}
 	ow.mu.Lock()
-	orders := ow.engine.PlanUpTo(now, cap(ow.orderSlots)-len(ow.orderSlots))
+	orders := ow.engine.PlanUpTo(now, maxStarts)
 	ow.mu.Unlock()
 	for _, o := range orders {
 		select {
@@ -315,8 +323,22 @@
 	ow.transferTasks(ctx, now, goroutines)
 }
 
+// directoryRestored reports whether this process has read the directory, and logs when
+// starts begin to wait for that and when they go on.
+func (ow *ownership) directoryRestored() bool {
+	restored := ow.config.Catalogue.Restored()
+	if waiting := !restored; waiting != ow.awaitsDirectory {
+		ow.awaitsDirectory = waiting
+		ow.logger.Info("starts wait until the directory is read, or go on", "waiting", waiting, "owner-for-ms", (ow.config.Now() - ow.started).Milliseconds())
+	}
+	return restored
+}
+
 // transferTasks transfers tasks that can't start here to other data centres.
 func (ow *ownership) transferTasks(ctx context.Context, now time.Duration, goroutines *sync.WaitGroup) {
+	if ow.awaitsDirectory {
+		return
+	}
 	var options []balancer.Option
 	ow.config.Replica.View(func(r *registrar.Registry) {
 		options = balancer.Options(now, ow.config.DataCentres, r, ow.config.Catalogue)
