dispatcher: a start without an answer outlives its worker's lease

A start got no answer; its worker crashed, was back under its ID, and was cut off from the hosts before one of them had heard it. The start reached the new process, which ran the task; 0.9 s later the owner started it elsewhere.

Cause: the end of a silent worker's lease was taken as proof that nothing runs there. It is counted by the clock of the process that was known. A start that is carried out late by the next process names a deadline by that same clock, which is far ahead of the new one's, so that it gives the longest lease, from whenever it arrives. The dispatcher knew which starts were sent and not answered (pendingStarts), but asked only when it heard a new process.

Change: a run whose start is pending is kept when its silent worker's lease ends: for 13 s from the last call that may extend a lease, since calls are carried out up to 12 s late, and a longest lease by a slow clock. Other runs of the worker are lost as before. An answer of the worker, in either life, ends the wait by its list; so does another process at its address. Steps that may run copies don't wait. The loss of the worker is counted against a kept run once. A start that was sent to a process before the one that is lost now isn't blamed for that, and one that can't arrive any more doesn't need a stop to be lost.

The wait is counted (held-starts) and logged. It can keep a task away longer than the rule on lost jobs allows, if its start got no answer since the worker was lost for good just then; running twice has no such bound, so that one gives way.

--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -129,7 +129,7 @@
 		"starts": c.Starts, "done": c.Done, "failed": c.Failed, "lost": c.Lost, "stops": c.Stops,
 		"paces": c.Paces, "suspects": c.Suspects, "doubts": c.Doubts, "completed": c.Completed,
 		"starts-again": c.StartsAgain, "late-ends": c.LateEnds, "late-done": c.LateDone, "reappeared": c.Reappeared,
-		"unrecorded-ends": c.UnrecordedEnds, "final-ends": c.FinalEnds, "held-ends": c.HeldEnds,
+		"unrecorded-ends": c.UnrecordedEnds, "final-ends": c.FinalEnds, "held-ends": c.HeldEnds, "held-starts": c.HeldStarts,
 		"urgent-stops": c.UrgentStops, "urgent-waits": c.UrgentWaits,
 		"place-waits": c.PlaceWaits, "place-wait-ms": c.PlaceWaitMs, "place-waits-paid": c.PlaceWaitsPaid, "place-waits-lost": c.PlaceWaitsLost,
 	}
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -64,19 +64,27 @@
 	}
 	strongest := evidenceNone
 	for _, r := range w.runs {
-		if r.since <= latest {
+		if r.since <= latest && !w.innocent(r) {
 			strongest = max(strongest, r.evidence())
 		}
 	}
 	var suspects []suspect
 	for _, r := range w.runs {
-		if strongest != evidenceNone && r.since <= latest && r.evidence() == strongest {
+		if strongest != evidenceNone && r.since <= latest && !w.innocent(r) && r.evidence() == strongest {
 			suspects = append(suspects, d.suspect(r))
 		}
 	}
 	return suspects
 }
 
+// innocent reports whether a run has nothing to do with the loss of a worker's process: its
+// start was sent to an earlier one and hasn't been carried out, or it was kept when that
+// process was lost, and counted then.
+func (w *worker) innocent(r *run) bool {
+	p := w.pendingStarts[r.ref]
+	return r.held || r.state == runUnanswered && (p == nil || p.incarnation != w.incarnation)
+}
+
 // suspect adds to the suspicion against the task of a run that was lost with its
 // worker.
 func (d *Dispatcher) suspect(r *run) suspect {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -167,6 +167,7 @@
 	Doubts    uint64 // Starts that got no answer.
 	Completed uint64
 
+	HeldStarts     uint64 // Runs that a late start may begin after their worker's lease has ended.
 	StartsAgain    uint64 // Starts after a run that ended unseen, or other than failed, stopped or refused.
 	LateEnds       uint64 // Ends of runs that were given up before.
 	LateDone       uint64 // Those among them that were done.
--- a/dispatcher/former_start.go
+++ b/dispatcher/former_start.go
@@ -28,6 +28,20 @@
 	w.pendingStarts[run] = &pendingStart{sentAt: now, incarnation: w.incarnation}
 }
 
+// lateStartEnd returns the time at which a run whose start is pending on a silent worker has
+// certainly ended, or zero if the end of the worker's lease is proof enough. The worker's next
+// process, of which nobody may have heard, can carry the start out late. The deadline of the
+// start, and of a renewal that arrives after it, is by the clock of the process before, so
+// that each gives the longest lease. A step that may run copies doesn't depend on it.
+func (d *Dispatcher) lateStartEnd(w *worker, r *run) time.Duration {
+	p := w.pendingStarts[r.ref]
+	if p == nil || w.gone || r.task.step.spec().Speculative {
+		return 0
+	}
+	last := max(p.sentAt, w.leaseCallAt) + lateStartTime
+	return last + time.Duration(float64(d.config.MaxLease)*(1+clockSkew)) + leaseMargin
+}
+
 // startSettled records that a start was carried out or refused.
 func (w *worker) startSettled(run briarspring.RunRef) { delete(w.pendingStarts, run) }
 
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -67,6 +67,7 @@
 	}
 	req.Until = w.clockNow(now) + lease
 	w.leaseUntil = max(w.leaseUntil, req.Until)
+	w.leaseCallAt = now
 	return req, true
 }
 
@@ -113,6 +114,9 @@
 		d.clearSuspects(w, 0)
 	}
 	w.renewalFailed = false
+	for _, r := range w.runs {
+		r.held = false
+	}
 	if sent >= w.restartSeenAt {
 		w.restartSeenAt = 0
 	}
@@ -412,7 +416,7 @@
 // prevents reports whether a list that was requested at sent shows that an unanswered
 // start can't be carried out any more.
 func (w *worker) prevents(r *run, sent time.Duration) bool {
-	return r.stopAnsweredAt != 0 && r.stopAnsweredAt < sent || w.clock > r.startBy+leaseMargin
+	return r.stopAnsweredAt != 0 && r.stopAnsweredAt < sent || w.clock > r.startBy+leaseMargin || w.pendingStarts[r.ref] == nil
 }
 
 // checkUnstarted handles a run whose start was not answered and that its worker does
@@ -466,7 +470,7 @@
 }
 
 // expireLeases marks as lost all runs on workers whose lease has certainly
-// ended.
+// ended, except those that a late start may still begin.
 func (d *Dispatcher) expireLeases() {
 	for _, w := range d.workersByID {
 		if len(w.runs) == 0 || d.now-w.answeredAt < silenceLimit {
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -137,6 +137,7 @@
 	r.since = d.now
 	r.startBy = w.clockNow(d.now) + startWindow
 	w.leaseUntil = max(w.leaseUntil, r.startBy)
+	w.leaseCallAt = d.now
 	w.startSent(d.now, r.ref)
 	d.orders = append(d.orders, Order{
 		Kind: OrderStart, Worker: w.id, Address: w.entry.Address,
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // mayAct reports whether tasks of a step may start, stop as a partial gang, or move to
 // another data centre: an earlier owner can't have started any of them unseen.
@@ -46,11 +49,36 @@
 	})
 }
 
-// loseWorker records that a worker and everything on it is certainly gone.
+// loseWorker records that a worker and everything on it is certainly gone. A run that
+// a late start may still begin in the worker's next process is lost once it can't.
 func (d *Dispatcher) loseWorker(w *worker, why string) {
-	d.logger.Warn("worker is gone", "worker", w.id, "why", why, "silent-ms", (d.now - w.answeredAt).Milliseconds(), "runs", len(w.runs), "fenced", w.fenced)
-	w.suspects = append(w.suspects, d.suspectRuns(w, d.now)...)
+	heldBefore := 0
 	for _, r := range w.runs {
-		d.markLost(r, why)
+		if r.held {
+			heldBefore++
+		}
 	}
+	if heldBefore < len(w.runs) || len(w.runs) == 0 {
+		d.logger.Warn("worker is gone", "worker", w.id, "why", why, "silent-ms", (d.now - w.answeredAt).Milliseconds(), "runs", len(w.runs), "fenced", w.fenced)
+		w.suspects = append(w.suspects, d.suspectRuns(w, d.now)...)
+	}
+	for _, r := range w.runs {
+		switch end := d.lateStartEnd(w, r); {
+		case end <= d.now && r.held:
+			d.markLost(r, "its start can't be carried out late any more")
+		case end <= d.now:
+			d.markLost(r, why)
+		case !r.held:
+			d.holdRun(r, end)
+		}
+	}
+}
+
+// holdRun keeps a run of a silent worker until a time at which a late start of it has
+// certainly ended, unless the worker answers first.
+func (d *Dispatcher) holdRun(r *run, end time.Duration) {
+	r.held = true
+	d.counters.HeldStarts++
+	d.logger.Info("waiting for a start that may be carried out late", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
+		"run", r.ref.Run, "worker", r.worker.id, "state", r.state.String(), "sent-ms", (d.now - r.since).Milliseconds(), "at-most-ms", (end - d.now).Milliseconds())
 }
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -51,6 +51,7 @@
 	clock         time.Duration // The worker's clock at clockAt.
 	clockAt       time.Duration
 	leaseUntil    time.Duration // Latest lease deadline ever sent, by the worker's clock.
+	leaseCallAt   time.Duration // When the last call with such a deadline was sent.
 	answeredAt    time.Duration
 	fencedAt      time.Duration // When it first answered.
 	heardSince    time.Duration // The worker's clock in its first answer in its present incarnation.
@@ -260,6 +261,7 @@
 	missingSince    time.Duration // Since when, by the worker's clock, it is in neither list; zero for listed.
 	unreported      bool          // Is not in the list of running tasks any more, and its end may not be listed yet.
 	settled         bool          // Was in such a list settleTime after its start.
+	held            bool          // Its worker is gone, but its start may still be carried out.
 	stopping        bool
 	stoppedAt       time.Duration // When the first stop was sent.
 	stopSentAt      time.Duration // When the last stop was sent.
