platform, dispatcher: a start that was never sent doesn't count as in doubt

Cause: the client knows whether a call had a connection and says so in its error text only; VerdictOf turned each such error into "unanswered".

Change: an order without a connection gets a verdict of its own, unsent. net/http writes a request only to a connection that it has handed out, and the trace tells when it does; if it handed out none, nothing was written and nothing can arrive later. The dispatcher removes such a run at once, and the worker gets no start for 0.5 s, as after a refusal.

Metric: unsent.

--- a/assembler/host_metrics.go
+++ b/assembler/host_metrics.go
@@ -127,7 +127,7 @@
 func countersOf(c dispatcher.Counters) map[string]uint64 {
 	return map[string]uint64{
 		"starts": c.Starts, "done": c.Done, "failed": c.Failed, "lost": c.Lost, "stops": c.Stops,
-		"paces": c.Paces, "suspects": c.Suspects, "doubts": c.Doubts, "completed": c.Completed,
+		"paces": c.Paces, "suspects": c.Suspects, "doubts": c.Doubts, "unsent": c.Unsent, "completed": c.Completed,
 		"starts-again": c.StartsAgain, "late-ends": c.LateEnds, "late-done": c.LateDone, "reappeared": c.Reappeared,
 		"unrecorded-ends": c.UnrecordedEnds, "final-ends": c.FinalEnds, "held-ends": c.HeldEnds, "held-starts": c.HeldStarts,
 		"urgent-stops": c.UrgentStops, "urgent-waits": c.UrgentWaits,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -165,6 +165,7 @@
 	Stops     uint64
 	Paces     uint64
 	Doubts    uint64 // Starts that got no answer.
+	Unsent    uint64 // Starts that were not sent for want of a connection.
 	Completed uint64
 
 	HeldStarts     uint64 // Runs that a late start may begin after their worker's lease has ended.
--- a/dispatcher/late_start_wait_test.go
+++ b/dispatcher/late_start_wait_test.go
@@ -119,4 +119,15 @@
 		s.d.SetWorkers(s.now, s.entries("w0", "w1"))
 		assert.Contains(t, s.withoutW0(time.Second), briarspring.WorkflowID("a"))
 	})
+	t.Run("is not for a start that was not sent", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 2)
+		s.d.SetWorkers(s.now, s.entries("w0"))
+		s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+		s.d.ForcePlan()
+		s.d.HandleVerdict(s.now, s.d.Plan(s.now)[0], briarspring.VerdictUnsent)
+		s.d.SetWorkers(s.now, s.entries("w0", "w1"))
+		assert.Contains(t, s.withoutW0(400*time.Millisecond), briarspring.WorkflowID("a"))
+		assert.Equal(t, uint64(1), s.d.Counters().Unsent)
+		assert.Zero(t, s.d.Counters().Doubts)
+	})
 }
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -73,9 +73,13 @@
 		w.pausedUntil = d.now + startPause
 		return
 	}
-	if v == briarspring.VerdictUnhealthy || v == briarspring.VerdictFull {
+	switch v {
+	case briarspring.VerdictUnhealthy, briarspring.VerdictFull:
 		w.pausedUntil = d.now + startPause
 		r.task.avoidWorker = w
+	case briarspring.VerdictUnsent:
+		d.counters.Unsent++
+		w.pausedUntil = d.now + startPause
 	}
 	d.removeUnstarted(r)
 	if v == briarspring.VerdictInvalid {
--- a/verdict.go
+++ b/verdict.go
@@ -19,12 +19,13 @@
 	VerdictInvalid                  // The worker can't parse or apply the order.
 	VerdictUnhealthy                // The worker is overloaded or unavailable and did nothing.
 	VerdictOtherIncarnation         // Another worker, or a new incarnation, has taken over the address.
+	VerdictUnsent                   // There was no connection to the worker, so the order can't arrive later either.
 )
 
 // String returns the verdict in kebab case.
 func (v Verdict) String() string {
 	names := [...]string{
-		"", "done", "unanswered", "superseded", "barred", "late", "full", "invalid", "unhealthy", "other-life",
+		"", "done", "unanswered", "superseded", "barred", "late", "full", "invalid", "unhealthy", "other-life", "unsent",
 	}
 	if int(v) < len(names) {
 		return names[v]
@@ -32,7 +33,7 @@
 	return fmt.Sprintf("verdict-%d", uint8(v))
 }
 
-// OrderRefusedError reports that a worker did not carry out an order.
+// OrderRefusedError reports that a worker did not carry out an order and won't.
 type OrderRefusedError struct {
 	Verdict Verdict
 }
