dispatcher: records say which starts got no answer, for the next owner

Cause: the memory of starts without an answer ends with its owner. The record of a run names its worker, but not whether the worker had accepted the start, so that a successor took the end of the worker's lease as proof for each run.

Evidence: two cases of TestWaitForALateStartAfterTakeover fail without the change. Not played with processes.

Change: a start without an answer is recorded as such when that is known, and its run, if listed later, without the mark: 2 bytes and one record more for each start in doubt, none for others. A successor that doesn't hear the worker waits for such a run as its own owner would, counted from the takeover; what else ran on the worker is lost with the lease. A start that was under way when its owner was lost, for at most the 0.8 s until it counts as unanswered and one append, has no mark: to assume it for every recorded run would hold each task of a lost worker for 20 s after a takeover, and a record of each answer would double the bytes of a start.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -90,7 +90,7 @@
 			p.Checkpoint = ""
 		}
 		for _, r := range t.runs {
-			p.Worker = r.worker.id
+			p.Worker, p.InDoubt = r.worker.id, r.inDoubt()
 		}
 		list = append(list, p)
 	}
--- a/dispatcher/former_start.go
+++ b/dispatcher/former_start.go
@@ -42,6 +42,18 @@
 	return last + time.Duration(float64(d.config.MaxLease)*(1+clockSkew)) + leaseMargin
 }
 
+// inDoubt reports whether the run's start got no answer and may still be carried out.
+func (r *run) inDoubt() bool {
+	return r.state != runOrdered && r.worker.pendingStarts[r.ref] != nil
+}
+
+// startRecorded records that an earlier owner had no answer to a start when it recorded the
+// run, which was before now.
+func (w *worker) startRecorded(now time.Duration, run briarspring.RunRef) {
+	w.startSent(now, run)
+	w.pendingStarts[run].incarnation = 0
+}
+
 // startSettled records that a start was carried out or refused.
 func (w *worker) startSettled(run briarspring.RunRef) { delete(w.pendingStarts, run) }
 
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -301,6 +301,9 @@
 		return
 	}
 	if r.state != runAlive {
+		if r.state == runUnanswered {
+			d.markDirty(r.task.step.job) // The record says that the start is in doubt.
+		}
 		r.state = runAlive
 		r.startAnsweredAt = d.now
 	}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -291,10 +291,14 @@
 	}
 	w := d.worker(p.Worker)
 	w.inherited = w.inherited || !w.fenced
-	d.addRun(&run{
+	r := &run{
 		ref: briarspring.RunRef{Task: t.ref(), Run: p.Run}, task: t, worker: w, state: runUnknown, pace: fullSpeed,
 		paceSent: fullSpeed, since: d.now, origin: origin,
-	})
+	}
+	d.addRun(r)
+	if p.InDoubt {
+		w.startRecorded(d.now, r.ref)
+	}
 }
 
 // markDone marks the task done; one finished member finishes a whole gang. The
--- a/dispatcher/late_start_wait_test.go
+++ b/dispatcher/late_start_wait_test.go
@@ -131,3 +131,53 @@
 		assert.Zero(t, s.d.Counters().Doubts)
 	})
 }
+
+// Guards against a new owner that starts a task again while its first start, which the owner
+// before had sent without an answer, may still be carried out.
+func TestWaitForALateStartAfterTakeover(t *testing.T) {
+	// takeOverSilent returns a new owner to which w0 doesn't answer, with what was recorded
+	// of a start there after its verdict.
+	takeOverSilent := func(t *testing.T, v briarspring.Verdict) *fixture {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 2)
+		s.d.SetWorkers(s.now, s.entries("w0"))
+		s.d.Submit(s.now, 0, workflow("a", step(1, 1000)), 5, nil, nil)
+		s.d.ForcePlan()
+		orders := s.d.Plan(s.now)
+		require.Len(t, starts(orders)["w0"], 1)
+		s.d.HandleVerdict(s.now, orders[0], v)
+		recorded := s.progressOf("a")
+		require.Len(t, recorded, 1)
+		assert.Equal(t, v == briarspring.VerdictUnanswered, recorded[0].InDoubt)
+		next := s.successor(9)
+		next.d.SetPredecessorsGone(next.now)
+		next.d.SetWorkers(next.now, next.entries("w0", "w1"))
+		next.d.Submit(next.now, 0, workflow("a", step(1, 1000)), 5, recorded, nil)
+		next.d.Submit(next.now, 0, workflow("b", step(1, 1000)), 6, nil, nil)
+		return next
+	}
+	t.Run("is for the run in doubt alone", func(t *testing.T) {
+		s := takeOverSilent(t, briarspring.VerdictUnanswered)
+		started := s.withoutW0(18 * time.Second)
+		assert.Contains(t, started, briarspring.WorkflowID("b"))
+		assert.NotContains(t, started, briarspring.WorkflowID("a"))
+		assert.Contains(t, s.withoutW0(longestWait-18*time.Second), briarspring.WorkflowID("a"))
+	})
+	t.Run("is handed on to the next owner", func(t *testing.T) {
+		s := takeOverSilent(t, briarspring.VerdictUnanswered)
+		s.advanceWith(leaseTime, func() { s.renew("w1") })
+		recorded := s.progressOf("a") // As the loss of w0 counts against the task.
+		require.Len(t, recorded, 1)
+		assert.True(t, recorded[0].InDoubt)
+	})
+	t.Run("is not for a run that the worker had accepted", func(t *testing.T) {
+		s := takeOverSilent(t, briarspring.VerdictDone)
+		assert.Contains(t, s.withoutW0(leaseTime), briarspring.WorkflowID("a"))
+	})
+	t.Run("leaves the record once the run is listed", func(t *testing.T) {
+		s, run := silentAfterAStart(t, step(1, 1000))
+		require.True(t, s.progressOf("a")[0].InDoubt)
+		s.workers["w0"].running[run] = briarspring.RunningTask{Run: run, Percent: 10}
+		s.renew("w0")
+		assert.False(t, s.progressOf("a")[0].InDoubt)
+	})
+}
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -70,6 +70,7 @@
 	if v == briarspring.VerdictUnanswered {
 		d.counters.Doubts++
 		r.state = runUnanswered
+		d.markDirty(r.task.step.job) // For a new owner.
 		w.pausedUntil = d.now + startPause
 		return
 	}
--- a/dispatcher/started_test.go
+++ b/dispatcher/started_test.go
@@ -55,7 +55,7 @@
 func TestPhaseOfAnOrderedWorkflow(t *testing.T) {
 	for _, v := range []briarspring.Verdict{
 		briarspring.VerdictUnanswered, briarspring.VerdictFull, briarspring.VerdictUnhealthy, briarspring.VerdictExpired,
-		briarspring.VerdictOtherIncarnation, briarspring.VerdictStaleRun, briarspring.VerdictInvalid,
+		briarspring.VerdictOtherIncarnation, briarspring.VerdictStaleRun, briarspring.VerdictInvalid, briarspring.VerdictUnsent,
 	} {
 		t.Run("the answer is "+v.String(), func(t *testing.T) {
 			s, order := orderOne(t)
--- a/encoder/progress_test.go
+++ b/encoder/progress_test.go
@@ -19,6 +19,7 @@
 	for i := range tasks {
 		p := briarspring.TaskProgress{
 			Position: briarspring.MaxTasks - i, Suspicion: 3, Run: math.MaxUint16, Checkpoint: strings.Repeat("c", 16), Worker: strings.Repeat("w", 16),
+			Started: true, InDoubt: true,
 		}
 		for range failures {
 			p.FailedRuns = append(p.FailedRuns, math.MaxUint16)
--- a/stream.go
+++ b/stream.go
@@ -96,6 +96,7 @@
 	Started    bool     // A worker has carried out a start.
 	Checkpoint string
 	Worker     string // Worker of the live run; empty if there is none.
+	InDoubt    bool   // The start of the live run got no answer, so that it may still be carried out.
 }
 
 // TaskTransfer moves waiting tasks of a workflow to another data centre.
