dispatcher: the clock in the answer to a start tells of a new process

What would be seen: a worker restarts under its ID within a second, answers a start over a new connection before any renewal, and is cut off. Its run lives for the longest lease, since the start's deadline is by the clock of the process before; the owner counts that deadline, 1.5 s, and starts the task elsewhere (TWICE; up to 4.5 s of overlap where the longest lease is 10 s).

Answers to orders have the worker's clock, but only renewals were looked at for it.

Not played with processes.

Change: Workers.Start returns the worker's clock. A reading before the last one that was known when the start was sent is of a later process: it counts as seen and not heard, as when the worker's entry tells of it, so that its lease counts as the longest one, and until it is heard it gets no deadline and no start.

--- a/assembler/directory_history_test.go
+++ b/assembler/directory_history_test.go
@@ -25,12 +25,12 @@
 	host  string
 }
 
-func (w *watchedWorkers) Start(ctx context.Context, address, id string, o briarspring.StartOrder) error {
-	err := w.PoolClient.Start(ctx, address, id, o)
+func (w *watchedWorkers) Start(ctx context.Context, address, id string, o briarspring.StartOrder) (time.Duration, error) {
+	clock, err := w.PoolClient.Start(ctx, address, id, o)
 	if err == nil && w.fleet.onStart != nil {
 		w.fleet.onStart(w.host, o.Run)
 	}
-	return err
+	return clock, err
 }
 
 // directoryHistory is a run of random changes of the directory, with streams that single
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -265,7 +265,8 @@
 	Stop    briarspring.StopOrder
 	Pace    briarspring.PaceOrder
 
-	incarnation int64 // Of the worker, as known when a stop was ordered.
+	incarnation int64         // Of the worker, as known when a start or a stop was ordered.
+	clock       time.Duration // Last reading of the worker's clock before a start was ordered.
 }
 
 // Run returns the run that the order refers to.
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -149,5 +149,6 @@
 		Start: briarspring.StartOrder{
 			Run: r.ref, Specification: t.step.job.workflow.Specification, Until: r.startBy, Token: d.config.Token, Checkpoint: t.checkpoint,
 		},
+		incarnation: w.incarnation, clock: w.clock,
 	})
 }
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -58,7 +58,7 @@
 	reported      bool          // Has listed everything that runs or has ended under earlier owners.
 	bornAfter     time.Duration // Earliest start of its present incarnation; zero for the first one known.
 	restarted     bool          // A call that was meant for its last incarnation may have extended its lease.
-	restartSeenAt time.Duration // When its entry named an incarnation that has not answered yet; zero for none.
+	restartSeenAt time.Duration // When its entry, or a start, told of an incarnation that has not answered yet; zero for none.
 	acceptedAt    time.Duration // When the last renewal that it accepted was sent.
 	startedSince  time.Duration // When its present incarnation first answered.
 	lastEndSeen   uint64        // Highest number of an end that was processed.
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"briarspring"
@@ -312,8 +313,16 @@
 }
 
 // Start starts a run.
-func (c *PoolClient) Start(ctx context.Context, _, id string, o briarspring.StartOrder) error {
-	return c.sendOrder(ctx, id, func(w *poolWorker) error { return c.pool.startRun(w, o) })
+func (c *PoolClient) Start(ctx context.Context, _, id string, o briarspring.StartOrder) (time.Duration, error) {
+	var clock atomic.Int64
+	err := c.sendOrder(ctx, id, func(w *poolWorker) error {
+		clock.Store(int64(w.clock()))
+		return c.pool.startRun(w, o)
+	})
+	if briarspring.VerdictOf(err) == briarspring.VerdictUnanswered {
+		return 0, err
+	}
+	return time.Duration(clock.Load()), err
 }
 
 func (p *Pool) startRun(w *poolWorker, o briarspring.StartOrder) error {
--- a/imitator/pool_test.go
+++ b/imitator/pool_test.go
@@ -38,7 +38,8 @@
 		ctx := context.Background()
 		c := p.Client("owner")
 		run := briarspring.RunRef{Task: briarspring.TaskRef{Workflow: "w"}, Run: 1}
-		require.NoError(t, c.Start(ctx, "", "a", briarspring.StartOrder{Run: run, Until: 3 * time.Second, Token: 1}))
+		_, err := c.Start(ctx, "", "a", briarspring.StartOrder{Run: run, Until: 3 * time.Second, Token: 1})
+		require.NoError(t, err)
 		time.Sleep(work + second.pause)
 		run.Run = second.number
 		acknowledge := func() {
@@ -48,7 +49,8 @@
 		if second.acknowledged {
 			acknowledge()
 		}
-		require.NoError(t, c.Start(ctx, "", "b", briarspring.StartOrder{Run: run, Until: 30 * time.Second, Token: 1}))
+		_, err = c.Start(ctx, "", "b", briarspring.StartOrder{Run: run, Until: 30 * time.Second, Token: 1})
+		require.NoError(t, err)
 		if !second.acknowledged {
 			acknowledge()
 		}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -39,7 +39,8 @@
 // connection.
 type Workers interface {
 	RenewLease(ctx context.Context, address, id string, h briarspring.LeaseRequest) (briarspring.LeaseReply, error)
-	Start(ctx context.Context, address, id string, o briarspring.StartOrder) error
+	// Start returns the worker's clock when it answered, or zero if that is not known.
+	Start(ctx context.Context, address, id string, o briarspring.StartOrder) (time.Duration, error)
 	Stop(ctx context.Context, address, id string, o briarspring.StopOrder) error
 	Pace(ctx context.Context, address, id string, o briarspring.PaceOrder) error
 }
--- a/steward/term.go
+++ b/steward/term.go
@@ -368,9 +368,10 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	var err error
+	var clock time.Duration
 	switch o.Kind {
 	case dispatcher.OrderStart:
-		err = ow.config.Workers.Start(ctx, o.Address, o.Worker, o.Start)
+		clock, err = ow.config.Workers.Start(ctx, o.Address, o.Worker, o.Start)
 	case dispatcher.OrderStop:
 		err = ow.config.Workers.Stop(ctx, o.Address, o.Worker, o.Stop)
 	case dispatcher.OrderPace:
@@ -381,6 +382,7 @@
 		ow.logger.Debug("order failed", "worker", o.Worker, "kind", o.Kind, "workflow", o.Run().Task.Workflow, "error", err)
 	}
 	ow.mu.Lock()
+	ow.engine.HandleOrderClock(ow.config.Now(), o, clock)
 	ow.engine.HandleVerdict(ow.config.Now(), o, verdict)
 	phaseChanged := ow.engine.PhaseChanged()
 	ow.mu.Unlock()
