dispatcher: a data centre knows of the finished steps of tasks that come to it

Two workers of the job's data centre had been lost, one after the other, and the second task had moved to the third data centre.

Cause: whether a task may start depends on steps whose state stayed behind. The first task that moved took the finished step along; the second one moved to another data centre without it, since it wasn't in the first any more. There the step counted as unfinished, and the task stayed blocked for good. The transfer that had said "done" is in the shared stream, which each host reads; a dispatcher looked only at the progress of tasks that came to it.

Change: a task that was done when it was transferred, or whose end another data centre has recorded, is done for every data centre, wherever the task is. A step that finishes after tasks that follow it have left is recorded once, as ends of its tasks: by what the state says, so that a new owner does it if the one before didn't. Workflows that are in one data centre have no such record.

--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -102,7 +102,8 @@
 	}
 }
 
-// ApplyEnds applies ends that other data centres recorded for tasks that run here now.
+// ApplyEnds applies ends that other data centres recorded for tasks that run here now, or
+// that tasks here depend on.
 func (d *Dispatcher) ApplyEnds(now time.Duration, id briarspring.WorkflowID, ends map[int]briarspring.TaskProgress) {
 	d.now = now
 	j := d.jobs[id]
@@ -110,10 +111,17 @@
 		return
 	}
 	for position, p := range ends {
-		if position >= len(j.tasks) || !j.tasks[position].local {
+		if position >= len(j.tasks) {
 			continue
 		}
 		t := j.tasks[position]
+		t.doneShared = t.doneShared || p.Done
+		if !t.local {
+			if p.Done {
+				t.markDone(now)
+			}
+			continue
+		}
 		d.noteStarted(t, startEnded, p.Run, "")
 		for _, run := range p.FailedRuns {
 			t.countFailure(run)
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -30,6 +30,7 @@
 	hasProgressRecord bool              // A progress record is stored or on its way.
 	size              float64           // Declared work of one occurrence, in millicore seconds.
 	transferredAway   bool              // All tasks were transferred to other data centres.
+	split             bool              // Some task was, or is about to be.
 	live              int               // Runs that may be alive.
 	newEnds           []newEnd          // Ends since the last record.
 }
@@ -63,6 +64,7 @@
 	transfers    int    // Recorded transfers of the task that were read so far.
 	transferring bool   // Another transfer is on its way.
 	done         bool
+	doneShared   bool // The shared stream says that it is done.
 	failedRuns   []uint32
 	suspicion    int    // That it crashes its workers; see crash.go.
 	lastRun      uint32 // Highest run number used, also by starts that no worker carried out.
@@ -251,6 +253,7 @@
 	d.needsPlan = true
 	if place != nil {
 		j.setPlaces(place)
+		j.learnDone(now, place)
 	}
 	for _, p := range progress {
 		d.restoreProgress(j, p, originRecorded)
--- a/dispatcher/transfer.go
+++ b/dispatcher/transfer.go
@@ -169,8 +169,10 @@
 	tr := Transfer{Workflow: j.workflow.ID, Number: d.lastTransfer, Content: briarspring.TaskTransfer{
 		Token: d.config.Token, From: d.config.DataCentre, To: to,
 	}}
+	j.split = true
 	for _, t := range tasks {
 		t.transferring = true
+		t.doneShared = t.doneShared || t.done
 		tr.Content.Tasks = append(tr.Content.Tasks, briarspring.TaskProgress{
 			Position: t.position, Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Suspicion: t.suspicion,
 			Run: t.lastRun, Started: t.started, Checkpoint: t.checkpoint,
@@ -197,6 +199,7 @@
 		t.local, t.transfers = p.Local, p.Transfers
 		t.offset = max(t.offset, p.Offset)
 		j.transferredAway = j.transferredAway && !t.local
+		j.split = j.split || !t.local
 	}
 }
 
@@ -229,6 +232,7 @@
 		return
 	}
 	j.setPlaces(place)
+	j.learnDone(now, place)
 	d.needsPlan = true
 	d.logger.Info("tasks transferred", "workflow", id, "tasks", moved, "arrived", arrived, "away", j.transferredAway)
 	d.resumeEnds(id)
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -88,6 +88,11 @@
 		"." + strconv.FormatUint(uint64(run.Run), 10)
 }
 
+// FinishedStepKey returns the key of the ends of all tasks of a step.
+func FinishedStepKey(id briarspring.WorkflowID, occurrence, step int) string {
+	return prefixEnd + string(id) + "/" + strconv.Itoa(occurrence) + "." + strconv.Itoa(step)
+}
+
 // ClaimKey returns the key of one attempt to claim a data centre.
 func ClaimKey(dataCentre, attempt string) string { return prefixClaim + dataCentre + "/" + attempt }
 
--- a/steward/ends.go
+++ b/steward/ends.go
@@ -59,6 +59,23 @@
 	return record, needed
 }
 
+// reportFinishedSteps records the steps that tasks in other data centres wait for.
+func (ow *ownership) reportFinishedSteps(ctx context.Context, goroutines *sync.WaitGroup) {
+	ow.mu.Lock()
+	steps := ow.engine.TakeFinishedSteps()
+	ow.mu.Unlock()
+	for _, s := range steps {
+		value, err := encoder.EncodeRunProgress(s.Tasks)
+		if err != nil {
+			ow.logger.Error("finished step can't be encoded", "workflow", s.Workflow, "error", err)
+			continue
+		}
+		ow.logger.Info("recording a finished step for other data centres", "workflow", s.Workflow, "occurrence", s.Occurrence, "step", s.Step, "tasks", len(s.Tasks))
+		record := briarspring.KeyedRecord{Key: registrar.FinishedStepKey(s.Workflow, s.Occurrence, s.Step), Value: value}
+		goroutines.Go(func() { ow.publish(ctx, []briarspring.KeyedRecord{record}) })
+	}
+}
+
 // reportEnd records an end and releases it.
 func (ow *ownership) reportEnd(ctx context.Context, h dispatcher.HeldEnd, record briarspring.KeyedRecord) {
 	ow.logger.Info("recording an end for the task's data centre", "worker", h.Worker, "workflow", h.Run.Task.Workflow, "run", h.Run.Run, "done", h.Done)
--- a/steward/term.go
+++ b/steward/term.go
@@ -184,6 +184,7 @@
 			return
 		}
 		ow.settleEnds(ctx, goroutines)
+		ow.reportFinishedSteps(ctx, goroutines)
 		if now-listedAt >= listInterval {
 			listedAt = now
 			ow.applyWorkerList(ctx, now, goroutines)
