dispatcher: a long-running task moves without the steps that it doesn't depend on

Cause: what may move together was decided for the whole job. As long as any task of a step that ends had a run, nothing of the job moved, also tasks that neither follow that step nor are followed by it. The other way round, a lasting task that still waited for a step could move without it, as soon as it had waited for 0.6 s, and a step that moved after 0.15 s left the tasks that follow it behind.

Evidence: "beside a step that runs on" and the case after it of TestLongRunningTasksOfASplitWorkflow, TestTransferBesideAnotherStep, and "waits for one that is not finished" fail without the change.

A destination has to be able to run the steps that are still to be run, not the finished ones.

--- a/assembler/split_test.go
+++ b/assembler/split_test.go
@@ -49,12 +49,16 @@
 		s.After = steps
 		return s
 	}
+	long := shortStep(1)
+	long.Estimate = 5 * time.Minute
 	for _, c := range []struct {
 		name  string
 		steps []briarspring.Step
 	}{
 		{"behind a finished step", []briarspring.Step{shortStep(1), after(0)}},
 		{"behind two finished steps in a row", []briarspring.Step{shortStep(1), shortStep(2, 0), after(1)}},
+		{"beside a step that runs on", []briarspring.Step{long, service}},
+		{"behind a finished step and beside one that runs on", []briarspring.Step{shortStep(1), long, after(0)}},
 	} {
 		inVirtualTime(t, c.name, func(t *testing.T, f *fleet) {
 			for _, e := range f.pool.Entries() {
--- a/dispatcher/split_test.go
+++ b/dispatcher/split_test.go
@@ -85,6 +85,8 @@
 		s := newFixture(t, dispatcher.Config{Token: 1}, 1)
 		s.d.Submit(s.now, 0, w, 5, nil, elsewhere(map[int]bool{0: true, 1: false, 3: false}))
 		assert.Empty(t, starts(s.advance(5*time.Second)))
+		s.d.SetOutOfService(s.now, true)
+		assert.Empty(t, s.d.TakeTransfers(s.now, toViljandi), "it would be blocked anywhere")
 	})
 }
 
@@ -134,3 +136,40 @@
 		assert.Empty(t, s.d.TakeFinishedSteps())
 	})
 }
+
+// Guards against a long-running task that can't leave its data centre while another step
+// of its workflow, on which it doesn't depend, has a run there.
+func TestTransferBesideAnotherStep(t *testing.T) {
+	long := step(1, 1000)
+	long.Estimate = time.Minute
+	t.Run("of a task that is ready", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("a", long, following(2)), 5, nil, nil)
+		require.Equal(t, 3, countRuns(starts(s.planAndApply())))
+		s.d.SetOutOfService(s.now, true)
+		s.endRun("w0", briarspring.RunRef{Task: briarspring.TaskRef{Workflow: "a", Step: 1, Index: 1}, Run: 1}, briarspring.RunFailed)
+		s.renewAll()
+		list := s.d.TakeTransfers(s.now, toViljandi)
+		require.Len(t, list, 1)
+		assert.Equal(t, []int{2}, positions(list[0]))
+	})
+	t.Run("but not of one that follows it", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+		s.d.Submit(s.now, 0, workflow("a", long, following(2, 0)), 5, nil, nil)
+		require.Equal(t, 1, countRuns(starts(s.planAndApply())))
+		s.d.SetOutOfService(s.now, true)
+		s.now += 3 * time.Second
+		assert.Empty(t, s.d.TakeTransfers(s.now, toViljandi))
+	})
+	t.Run("together with the step that it follows, if that has to leave", func(t *testing.T) {
+		s := newFixture(t, dispatcher.Config{Token: 1}, 1)
+		large := step(1, 9000) // More than the worker has.
+		s.d.Submit(s.now, 0, workflow("a", large, following(2, 0)), 5, nil, nil)
+		require.Empty(t, starts(s.planAndApply()))
+		s.now += 200 * time.Millisecond
+		s.renewAll()
+		list := s.d.TakeTransfers(s.now, toViljandi)
+		require.Len(t, list, 1)
+		assert.Equal(t, []int{0, 1, 2}, positions(list[0]))
+	})
+}
--- a/dispatcher/transfer.go
+++ b/dispatcher/transfer.go
@@ -38,7 +38,7 @@
 // TakeTransfers returns the transfers that are due. choose returns a data centre
 // that can run tasks of all steps and has room for one of the first, or the empty
 // string for none. The tasks are not started here unless the transfer turns out to
-// be void.
+// be void. Long-running tasks that are ready move without the others of their job.
 func (d *Dispatcher) TakeTransfers(now time.Duration, choose func(service string, steps []*briarspring.Step) string) []Transfer {
 	d.now = now
 	if !d.workersListed {
@@ -50,25 +50,25 @@
 		if len(list) >= maxTransfers {
 			break
 		}
-		tasks := d.transferable(j)
-		if len(tasks) == 0 {
-			continue
-		}
-		to := choose(j.workflow.Service, stepsOf(tasks))
-		if to == "" {
-			continue
+		for _, due := range []func(*job) []*task{d.transferableAlone, d.transferable} {
+			tasks := due(j)
+			if len(tasks) == 0 {
+				continue
+			}
+			if to := choose(j.workflow.Service, stepsOf(tasks)); to != "" {
+				list = append(list, d.transfer(j, tasks, to))
+			}
 		}
-		list = append(list, d.transfer(j, tasks, to))
 	}
 	return list
 }
 
-// stepsOf returns the steps of tasks, in the order of their first tasks.
+// stepsOf returns the steps of unfinished tasks, in the order of their first tasks.
 func stepsOf(tasks []*task) []*briarspring.Step {
 	var steps []*briarspring.Step
 	seen := map[int]bool{}
 	for _, t := range tasks {
-		if !seen[t.step.number] {
+		if !t.done && !seen[t.step.number] {
 			seen[t.step.number] = true
 			steps = append(steps, t.step.spec())
 		}
@@ -95,22 +95,57 @@
 	return jobs
 }
 
-// transferable returns the tasks of a job that should move to another data
-// centre: single tasks of a long-running job, but all or none of a gang or any
-// other job, so that its steps stay together.
-func (d *Dispatcher) transferable(j *job) []*task {
+// movesAlone reports whether a task may move without the others of its job: no step
+// waits for it, and it waits for none.
+func (t *task) movesAlone(now time.Duration) bool {
+	spec := t.step.spec()
+	return spec.LongRunning && !spec.Gang && t.step.ready(now)
+}
+
+// transferableAlone returns the ready long-running tasks of a job that should move to
+// another data centre, and the finished tasks of the steps that they follow as far as
+// those are here: every host reads from a transfer which tasks are done.
+func (d *Dispatcher) transferableAlone(j *job) []*task {
 	var tasks []*task
-	due := false
+	follows := map[*step]bool{}
 	for _, t := range j.tasks {
-		if !t.local || t.transferring {
+		if !t.movesAlone(d.now) || !t.pending() || !d.mayAct(t.step) {
 			continue
 		}
-		spec := t.step.spec()
-		if spec.LongRunning && !spec.Gang {
-			if t.pending() && d.mayAct(t.step) && (d.outOfService || !t.waitsForPlace(d.now) && d.waitedFor(t, longRunningWait) && !d.waitsForQuota(t.step)) {
-				tasks = append(tasks, t)
-				due = true
-			}
+		if d.outOfService || !t.waitsForPlace(d.now) && d.waitedFor(t, longRunningWait) && !d.waitsForQuota(t.step) {
+			tasks = append(tasks, t)
+			j.addPrecursors(t.step, follows)
+		}
+	}
+	if len(tasks) == 0 {
+		return nil
+	}
+	for _, t := range j.tasks {
+		if follows[t.step] && t.done && t.local && !t.transferring && len(t.runs) == 0 {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+// addPrecursors adds the steps that a step follows, directly or not.
+func (j *job) addPrecursors(s *step, to map[*step]bool) {
+	for _, number := range s.spec().After {
+		if before := j.stepOf(s.occurrence, number); !to[before] {
+			to[before] = true
+			j.addPrecursors(before, to)
+		}
+	}
+}
+
+// transferable returns the tasks of a job that should move to another data centre: all
+// or none of those that may not move alone, so that steps that follow each other stay
+// together.
+func (d *Dispatcher) transferable(j *job) []*task {
+	var tasks []*task
+	due := false
+	for _, t := range j.tasks {
+		if !t.local || t.transferring || t.movesAlone(d.now) {
 			continue
 		}
 		if len(t.runs) > 0 || !d.mayAct(t.step) {
