dispatcher: a long-running task doesn't wait for a worker whose entry is gone

Nothing tells in time whether the start will be carried out.

Change: once the worker's entry has been missing for 2 s, a long-running task waits for the lease only. The platform says of entries that expired: one "that is still missing after that time is to be treated as gone", about two seconds. A worker that is back has an entry within a second, and one that is only cut off from the hosts keeps its own, so that the wait stays where a next process may run the task. What gives way is TWICE, if the worker comes back after that and carries the start out unheard.

Evidence: "is not for a long-running task whose worker has left the list" fails without the change, the cases beside it hold.

--- a/dispatcher/former_start.go
+++ b/dispatcher/former_start.go
@@ -28,16 +28,26 @@
 	w.pendingStarts[run] = &pendingStart{sentAt: now, incarnation: w.incarnation}
 }
 
+// absentTime is how long the entry of a silent worker must be missing until a long-running
+// task doesn't wait for its start any more: the platform takes a worker for gone whose entry
+// isn't back within about two seconds.
+const absentTime = 2 * time.Second
+
 // lateStartEnd returns the time at which a run whose start is pending on a silent worker has
 // certainly ended, or zero if the end of the worker's lease is proof enough. The worker's next
 // process, of which nobody may have heard, can carry the start out late. The deadline of the
 // start, and of a renewal that arrives after it, is by the clock of the process before, so
-// that each gives the longest lease. A step that may run copies doesn't depend on it.
+// that each gives the longest lease. A step that may run copies doesn't depend on it, and a
+// long-running task, which has to be back within seconds, waits only while the worker is
+// listed or may be listed again.
 func (d *Dispatcher) lateStartEnd(w *worker, r *run) time.Duration {
 	p := w.pendingStarts[r.ref]
 	if p == nil || w.gone || r.task.step.spec().Speculative {
 		return 0
 	}
+	if r.task.step.spec().LongRunning && d.absent(w) {
+		return 0
+	}
 	last := max(p.sentAt, w.leaseCallAt) + lateStartTime
 	return last + time.Duration(float64(d.config.MaxLease)*(1+clockSkew)) + leaseMargin
 }
@@ -54,6 +64,11 @@
 	w.pendingStarts[run].incarnation = 0
 }
 
+// absent reports whether a worker's entry has been missing for absentTime.
+func (d *Dispatcher) absent(w *worker) bool {
+	return d.workersListed && !w.listed && d.now-max(w.unlistedAt, d.startedAt) >= absentTime
+}
+
 // startSettled records that a start was carried out or refused.
 func (w *worker) startSettled(run briarspring.RunRef) { delete(w.pendingStarts, run) }
 
--- a/dispatcher/late_start_wait_test.go
+++ b/dispatcher/late_start_wait_test.go
@@ -110,6 +110,24 @@
 		s, _ := silentAfterAStart(t, spec)
 		assert.Contains(t, s.withoutW0(leaseTime), briarspring.WorkflowID("a"))
 	})
+	t.Run("is for a long-running task while its worker is listed", func(t *testing.T) {
+		s, _ := silentAfterAStart(t, longRunning(1, 1000))
+		assert.NotContains(t, s.withoutW0(leaseTime), briarspring.WorkflowID("a"))
+		s.d.SetWorkers(s.now, s.entries("w1"))
+		assert.NotContains(t, s.withoutW0(1800*time.Millisecond), briarspring.WorkflowID("a"))
+		assert.Contains(t, s.withoutW0(time.Second), briarspring.WorkflowID("a"))
+	})
+	t.Run("is not for a long-running task whose worker has left the list", func(t *testing.T) {
+		s, _ := silentAfterAStart(t, longRunning(1, 1000))
+		s.withoutW0(4 * time.Second)
+		s.d.SetWorkers(s.now, s.entries("w1"))
+		assert.Contains(t, s.withoutW0(leaseTime-4*time.Second), briarspring.WorkflowID("a"))
+	})
+	t.Run("is for any other task whose worker has left the list", func(t *testing.T) {
+		s, _ := silentAfterAStart(t, step(1, 1000))
+		s.d.SetWorkers(s.now, s.entries("w1"))
+		assert.NotContains(t, s.withoutW0(18*time.Second), briarspring.WorkflowID("a"))
+	})
 	t.Run("is not for a start that was refused", func(t *testing.T) {
 		s := newFixture(t, dispatcher.Config{Token: 1}, 2)
 		s.d.SetWorkers(s.now, s.entries("w0"))
