dispatcher: say in the log why a kept run is given up

A run whose late start is waited for is given up when that can't come any more, or, for a long-running task, once its worker's entry is missing; the reason named the first only.

--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -65,7 +65,7 @@
 	for _, r := range w.runs {
 		switch end := d.lateStartEnd(w, r); {
 		case end <= d.now && r.held:
-			d.markLost(r, "its start can't be carried out late any more")
+			d.markLost(r, "its late start is not waited for any longer")
 		case end <= d.now:
 			d.markLost(r, why)
 		case !r.held:
