dispatcher: a new owner waits for a late start no longer than the one before

Cause: the record said that a start was in doubt, but not until when, and a successor's clock tells nothing of when it was sent. Each owner also counted the loss of the silent worker against the task once more; four of them would have given it up.

Change: the record has the time for which the run may still be alive, as of when it is written. It was written before the takeover, so that the time counted from there is long enough. While a run is kept, its record is renewed each 4 s, so that a successor waits at most that much longer, and the lease of the silent worker. A run that an earlier owner recorded as in doubt is not blamed for the worker's loss.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -41,7 +41,7 @@
 			d.logUnrecorded(j, why)
 			continue
 		}
-		value, err := encoder.EncodeRunProgress(j.progress())
+		value, err := encoder.EncodeRunProgress(d.progressOf(j))
 		if err != nil {
 			d.logger.Error("encoding progress failed", "workflow", id, "error", err)
 			d.logUnrecorded(j, "progress can't be encoded")
@@ -75,8 +75,8 @@
 	return (j.cancelled || j.finalPhaseStored || j.transferredAway) && j.live == 0
 }
 
-// progress returns the progress records of the tasks of which a start was ordered.
-func (j *job) progress() []briarspring.TaskProgress {
+// progressOf returns the progress records of the tasks of which a start was ordered.
+func (d *Dispatcher) progressOf(j *job) []briarspring.TaskProgress {
 	var list []briarspring.TaskProgress
 	for _, t := range j.tasks {
 		if t.lastRun == 0 && len(t.failedRuns) == 0 && !t.done {
@@ -90,7 +90,7 @@
 			p.Checkpoint = ""
 		}
 		for _, r := range t.runs {
-			p.Worker, p.InDoubt = r.worker.id, r.inDoubt()
+			p.Worker, p.DoubtLeft = r.worker.id, d.doubtLeft(r)
 		}
 		list = append(list, p)
 	}
--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -79,10 +79,13 @@
 
 // innocent reports whether a run has nothing to do with the loss of a worker's process: its
 // start was sent to an earlier one and hasn't been carried out, or it was kept when that
-// process was lost, and counted then.
+// process was lost, and counted then, maybe by an earlier owner.
 func (w *worker) innocent(r *run) bool {
 	p := w.pendingStarts[r.ref]
-	return r.held || r.state == runUnanswered && (p == nil || p.incarnation != w.incarnation)
+	if r.held || p != nil && p.aliveUntil > 0 {
+		return true
+	}
+	return r.state == runUnanswered && (p == nil || p.incarnation != w.incarnation)
 }
 
 // suspect adds to the suspicion against the task of a run that was lost with its
--- a/dispatcher/former_start.go
+++ b/dispatcher/former_start.go
@@ -18,6 +18,7 @@
 	incarnation int64 // Process that it was sent to.
 	refusedBy   int64 // Last process that has answered a stop of the run.
 	stopSentAt  time.Duration
+	aliveUntil  time.Duration // Latest end of its run, as an earlier owner recorded it; zero for a start of this owner.
 }
 
 // startSent records that a start is on its way.
@@ -48,20 +49,37 @@
 	if r.task.step.spec().LongRunning && d.absent(w) {
 		return 0
 	}
-	last := max(p.sentAt, w.leaseCallAt) + lateStartTime
-	return last + time.Duration(float64(d.config.MaxLease)*(1+clockSkew)) + leaseMargin
+	afterCall := lateStartTime + time.Duration(float64(d.config.MaxLease)*(1+clockSkew)) + leaseMargin
+	end := p.aliveUntil
+	if end == 0 {
+		end = p.sentAt + afterCall
+	}
+	if w.leaseCallAt > 0 {
+		end = max(end, w.leaseCallAt+afterCall)
+	}
+	return end
 }
 
-// inDoubt reports whether the run's start got no answer and may still be carried out.
-func (r *run) inDoubt() bool {
-	return r.state != runOrdered && r.worker.pendingStarts[r.ref] != nil
+// doubtRecordInterval is the time between two records of a kept run, so that a new owner
+// waits for little longer than this one would.
+const doubtRecordInterval = 4 * time.Second
+
+// doubtLeft returns for how long a run may be alive on a silent worker whose lease has ended,
+// or zero if its start was answered or can't be carried out late.
+func (d *Dispatcher) doubtLeft(r *run) time.Duration {
+	if r.state == runOrdered {
+		return 0
+	}
+	// At least what the record can hold.
+	return max(0, (d.lateStartEnd(r.worker, r) - d.now + time.Millisecond).Truncate(time.Millisecond))
 }
 
 // startRecorded records that an earlier owner had no answer to a start when it recorded the
 // run, which was before now.
-func (w *worker) startRecorded(now time.Duration, run briarspring.RunRef) {
+func (w *worker) startRecorded(now time.Duration, run briarspring.RunRef, left time.Duration) {
 	w.startSent(now, run)
-	w.pendingStarts[run].incarnation = 0
+	p := w.pendingStarts[run]
+	p.incarnation, p.aliveUntil = 0, now+left
 }
 
 // absent reports whether a worker's entry has been missing for absentTime.
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -299,8 +299,8 @@
 		paceSent: fullSpeed, since: d.now, origin: origin,
 	}
 	d.addRun(r)
-	if p.InDoubt {
-		w.startRecorded(d.now, r.ref)
+	if p.DoubtLeft > 0 {
+		w.startRecorded(d.now, r.ref, p.DoubtLeft)
 	}
 }
 
--- a/dispatcher/late_start_wait_test.go
+++ b/dispatcher/late_start_wait_test.go
@@ -165,7 +165,7 @@
 		s.d.HandleVerdict(s.now, orders[0], v)
 		recorded := s.progressOf("a")
 		require.Len(t, recorded, 1)
-		assert.Equal(t, v == briarspring.VerdictUnanswered, recorded[0].InDoubt)
+		assert.Equal(t, v == briarspring.VerdictUnanswered, recorded[0].DoubtLeft > 0)
 		next := s.successor(9)
 		next.d.SetPredecessorsGone(next.now)
 		next.d.SetWorkers(next.now, next.entries("w0", "w1"))
@@ -183,9 +183,33 @@
 	t.Run("is handed on to the next owner", func(t *testing.T) {
 		s := takeOverSilent(t, briarspring.VerdictUnanswered)
 		s.advanceWith(leaseTime, func() { s.renew("w1") })
-		recorded := s.progressOf("a") // As the loss of w0 counts against the task.
+		recorded := s.progressOf("a")
 		require.Len(t, recorded, 1)
-		assert.True(t, recorded[0].InDoubt)
+		assert.Positive(t, recorded[0].DoubtLeft)
+		assert.Less(t, recorded[0].DoubtLeft, longestWait-leaseTime+time.Second)
+	})
+	t.Run("is little longer than without takeovers", func(t *testing.T) {
+		s := takeOverSilent(t, briarspring.VerdictUnanswered)
+		began := s.now
+		for token := uint64(10); s.now-began < longestWait-4*time.Second; token++ {
+			var recorded []briarspring.TaskProgress
+			s.advanceWith(6*time.Second, func() {
+				s.renew("w1")
+				b, due := s.d.TakeBatch()
+				if p := decodeProgress(t, b, "a"); due && p != nil {
+					recorded = p
+				}
+				s.d.Stored(b)
+			})
+			require.NotEmpty(t, recorded)
+			next := s.successor(token)
+			next.d.SetPredecessorsGone(next.now)
+			next.d.SetWorkers(next.now, next.entries("w0", "w1"))
+			next.d.Submit(next.now, 0, workflow("a", step(1, 1000)), 5, recorded, nil)
+			s = next
+		}
+		assert.Contains(t, s.withoutW0(leaseTime), briarspring.WorkflowID("a"))
+		assert.Less(t, s.now-began, 2*longestWait-leaseTime)
 	})
 	t.Run("is not for a run that the worker had accepted", func(t *testing.T) {
 		s := takeOverSilent(t, briarspring.VerdictDone)
@@ -193,9 +217,9 @@
 	})
 	t.Run("leaves the record once the run is listed", func(t *testing.T) {
 		s, run := silentAfterAStart(t, step(1, 1000))
-		require.True(t, s.progressOf("a")[0].InDoubt)
+		require.Positive(t, s.progressOf("a")[0].DoubtLeft)
 		s.workers["w0"].running[run] = briarspring.RunningTask{Run: run, Percent: 10}
 		s.renew("w0")
-		assert.False(t, s.progressOf("a")[0].InDoubt)
+		assert.Zero(t, s.progressOf("a")[0].DoubtLeft)
 	})
 }
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -70,6 +70,9 @@
 			d.markLost(r, why)
 		case !r.held:
 			d.holdRun(r, end)
+		case d.now-r.doubtMarkedAt >= doubtRecordInterval:
+			r.doubtMarkedAt = d.now
+			d.markDirty(r.task.step.job)
 		}
 	}
 }
@@ -77,7 +80,8 @@
 // holdRun keeps a run of a silent worker until a time at which a late start of it has
 // certainly ended, unless the worker answers first.
 func (d *Dispatcher) holdRun(r *run, end time.Duration) {
-	r.held = true
+	r.held, r.doubtMarkedAt = true, d.now
+	d.markDirty(r.task.step.job)
 	d.counters.HeldStarts++
 	d.logger.Info("waiting for a start that may be carried out late", "workflow", r.ref.Task.Workflow, "step", r.ref.Task.Step, "index", r.ref.Task.Index,
 		"run", r.ref.Run, "worker", r.worker.id, "state", r.state.String(), "sent-ms", (d.now - r.since).Milliseconds(), "at-most-ms", (end - d.now).Milliseconds())
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -262,6 +262,7 @@
 	unreported      bool          // Is not in the list of running tasks any more, and its end may not be listed yet.
 	settled         bool          // Was in such a list settleTime after its start.
 	held            bool          // Its worker is gone, but its start may still be carried out.
+	doubtMarkedAt   time.Duration // When the record was last told for how long.
 	stopping        bool
 	stoppedAt       time.Duration // When the first stop was sent.
 	stopSentAt      time.Duration // When the last stop was sent.
--- a/encoder/progress_test.go
+++ b/encoder/progress_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -19,7 +20,7 @@
 	for i := range tasks {
 		p := briarspring.TaskProgress{
 			Position: briarspring.MaxTasks - i, Suspicion: 3, Run: math.MaxUint16, Checkpoint: strings.Repeat("c", 16), Worker: strings.Repeat("w", 16),
-			Started: true, InDoubt: true,
+			Started: true, DoubtLeft: time.Minute,
 		}
 		for range failures {
 			p.FailedRuns = append(p.FailedRuns, math.MaxUint16)
--- a/encoder/workflow.go
+++ b/encoder/workflow.go
@@ -278,7 +278,7 @@
 		list = append(list, &pb.TaskProgress{
 			Position: int32(t.Position), Done: t.Done, FailedRuns: t.FailedRuns, Run: t.Run,
 			Checkpoint: t.Checkpoint, Worker: t.Worker, Suspicion: uint32(t.Suspicion), Started: t.Started,
-			InDoubt: t.InDoubt,
+			DoubtLeftMs: uint32(t.DoubtLeft.Milliseconds()),
 		})
 	}
 	return list
@@ -293,7 +293,7 @@
 		tasks = append(tasks, briarspring.TaskProgress{
 			Position: int(t.Position), Done: t.Done, FailedRuns: t.FailedRuns, Run: t.Run,
 			Checkpoint: t.Checkpoint, Worker: t.Worker, Suspicion: int(t.Suspicion), Started: t.Started,
-			InDoubt: t.InDoubt,
+			DoubtLeft: time.Duration(t.DoubtLeftMs) * time.Millisecond,
 		})
 	}
 	return tasks, nil
--- a/stream.go
+++ b/stream.go
@@ -96,7 +96,9 @@
 	Started    bool     // A worker has carried out a start.
 	Checkpoint string
 	Worker     string // Worker of the live run; empty if there is none.
-	InDoubt    bool   // The start of the live run got no answer, so that it may still be carried out.
+	// DoubtLeft is for how long the live run may be alive although its worker is silent, since
+	// its start got no answer and may be carried out late; zero if it was answered.
+	DoubtLeft time.Duration
 }
 
 // TaskTransfer moves waiting tasks of a workflow to another data centre.
