--- a/dispatcher/split_test.go
+++ b/dispatcher/split_test.go
@@ -40,7 +40,8 @@
 	return list
 }
 
-// startAll starts what is ready and ends the runs of the workflow's first steps.
+// finishSteps lets the runs of a workflow's first steps end as done, and those of the next one
+// start.
 func (s *fixture) finishSteps(steps int) {
 	for range steps {
 		for id, runs := range starts(s.advance(400 * time.Millisecond)) {
